Rename module platform to infra

Change: the module of carriers (wire, rpc, wal, settings, telemetry, httpapi, tlsconf, pause) is named infra; nothing else changes. Checked: everything builds and vets under the new name.

--- a/cmd/banyan-agent/main.go
+++ b/cmd/banyan-agent/main.go
@@ -16,7 +16,7 @@
 
 	"banyanwalk/cmd/internal/member"
 	"banyanwalk/core/admission"
-	"banyanwalk/platform/settings"
+	"banyanwalk/infra/settings"
 	"banyanwalk/services/agent"
 	"banyanwalk/services/node"
 )
--- a/cmd/banyan-capacity/main.go
+++ b/cmd/banyan-capacity/main.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"banyanwalk/platform/settings"
+	"banyanwalk/infra/settings"
 	"banyanwalk/services/capacity"
 )
 
--- a/cmd/banyan-control/main.go
+++ b/cmd/banyan-control/main.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
-	"banyanwalk/platform/settings"
+	"banyanwalk/infra/settings"
 	"banyanwalk/services/node"
 )
 
--- a/cmd/banyan-control/options.go
+++ b/cmd/banyan-control/options.go
@@ -10,9 +10,9 @@
 
 	"banyanwalk/cmd/internal/member"
 	"banyanwalk/core/bundle"
-	"banyanwalk/platform/settings"
-	"banyanwalk/platform/telemetry"
-	"banyanwalk/platform/tlsconf"
+	"banyanwalk/infra/settings"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/tlsconf"
 	"banyanwalk/services/control"
 )
 
--- a/cmd/banyan-control/options_test.go
+++ b/cmd/banyan-control/options_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"banyanwalk/platform/settings"
+	"banyanwalk/infra/settings"
 )
 
 func TestSettings(t *testing.T) {
--- a/cmd/banyan-dev/fleet.go
+++ b/cmd/banyan-dev/fleet.go
@@ -17,7 +17,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"banyanwalk/core/bundle"
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/agent/announce"
 	"banyanwalk/services/control"
 	"banyanwalk/services/control/adminclient"
--- a/cmd/banyan-dev/main.go
+++ b/cmd/banyan-dev/main.go
@@ -8,8 +8,8 @@
 	"os/signal"
 	"syscall"
 
-	"banyanwalk/platform/settings"
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/settings"
+	"banyanwalk/infra/telemetry"
 )
 
 const program = "banyan-dev"
--- a/cmd/banyan-engine/main.go
+++ b/cmd/banyan-engine/main.go
@@ -14,8 +14,8 @@
 	"github.com/cockroachdb/errors"
 
 	"banyanwalk/core/bundle"
-	"banyanwalk/platform/settings"
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/settings"
+	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/engine"
 )
 
--- a/cmd/banyan-gateway/main.go
+++ b/cmd/banyan-gateway/main.go
@@ -9,8 +9,8 @@
 	"syscall"
 
 	"banyanwalk/cmd/internal/member"
-	"banyanwalk/platform/settings"
-	"banyanwalk/platform/tlsconf"
+	"banyanwalk/infra/settings"
+	"banyanwalk/infra/tlsconf"
 	"banyanwalk/services/gateway"
 	"banyanwalk/services/node"
 )
--- a/cmd/banyan-load/main.go
+++ b/cmd/banyan-load/main.go
@@ -12,7 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"banyanwalk/platform/settings"
+	"banyanwalk/infra/settings"
 	"banyanwalk/services/load"
 )
 
--- a/cmd/banyanctl/command.go
+++ b/cmd/banyanctl/command.go
@@ -12,8 +12,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3"
 
-	"banyanwalk/platform/settings"
-	"banyanwalk/platform/tlsconf"
+	"banyanwalk/infra/settings"
+	"banyanwalk/infra/tlsconf"
 	"banyanwalk/services/control/adminclient"
 )
 
--- a/cmd/banyanctl/main.go
+++ b/cmd/banyanctl/main.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/httpapi"
+	"banyanwalk/infra/httpapi"
 	"banyanwalk/services/control/adminclient"
 )
 
--- a/cmd/banyanctl/marks.go
+++ b/cmd/banyanctl/marks.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/services/control"
 )
 
--- a/cmd/internal/member/member.go
+++ b/cmd/internal/member/member.go
@@ -8,9 +8,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
-	"banyanwalk/platform/settings"
-	"banyanwalk/platform/telemetry"
-	"banyanwalk/platform/tlsconf"
+	"banyanwalk/infra/settings"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/tlsconf"
 	"banyanwalk/services/node"
 )
 
--- a/platform/rpc/batch.go
+++ b/infra/rpc/batch.go
@@ -2,7 +2,7 @@
 
 import (
 	"banyanwalk/core/batch"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/wire"
 )
 
 // Methods between control replicas for batch work. Each runs on the leader of
--- a/platform/rpc/control.go
+++ b/infra/rpc/control.go
@@ -5,7 +5,7 @@
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/raft"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/wire"
 )
 
 // Methods of the operators. Control replicas forward them to the leader.
--- a/platform/rpc/rpc.go
+++ b/infra/rpc/rpc.go
@@ -6,7 +6,7 @@
 import (
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/wire"
 )
 
 // Methods of the agent.
--- a/platform/telemetry/admin.go
+++ b/infra/telemetry/admin.go
@@ -9,7 +9,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/rcrowley/go-metrics"
 
-	"banyanwalk/platform/httpapi"
+	"banyanwalk/infra/httpapi"
 )
 
 const adminShutdownTimeout = 2 * time.Second
--- a/platform/tlsconf/tlsconf.go
+++ b/infra/tlsconf/tlsconf.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"banyanwalk/platform/settings"
+	"banyanwalk/infra/settings"
 )
 
 // Peer holds the settings of the connections between banyanwalk's own
--- a/platform/tlsconf/tlsconf_test.go
+++ b/infra/tlsconf/tlsconf_test.go
@@ -20,9 +20,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"banyanwalk/platform/settings"
-	"banyanwalk/platform/telemetry"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/settings"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
 )
 
 const methodEcho wire.Method = 1
--- a/services/agent/agent.go
+++ b/services/agent/agent.go
@@ -20,9 +20,9 @@
 	"banyanwalk/core/dedupe"
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/telemetry"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
 )
 
 const (
--- a/services/agent/announcements.go
+++ b/services/agent/announcements.go
@@ -12,7 +12,7 @@
 	"banyanwalk/core/admission"
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/httpapi"
+	"banyanwalk/infra/httpapi"
 	"banyanwalk/services/agent/announce"
 )
 
--- a/services/agent/batch.go
+++ b/services/agent/batch.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"banyanwalk/core/fleet"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 // Answer is what a target answered to one batch item. After a failure it
--- a/services/agent/bench_test.go
+++ b/services/agent/bench_test.go
@@ -9,7 +9,7 @@
 	"banyanwalk/core/admission"
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/agent/announce"
 	"banyanwalk/services/engine"
 )
--- a/services/agent/beside_test.go
+++ b/services/agent/beside_test.go
@@ -12,7 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/pause"
+	"banyanwalk/infra/pause"
 	"banyanwalk/services/engine"
 )
 
--- a/services/agent/cold_test.go
+++ b/services/agent/cold_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanwalk/core/fleet"
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/engine"
 )
 
--- a/services/agent/crash.go
+++ b/services/agent/crash.go
@@ -6,7 +6,7 @@
 
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/quarantine"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 const (
--- a/services/agent/crash_test.go
+++ b/services/agent/crash_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/services/engine"
 )
 
--- a/services/agent/cuts_test.go
+++ b/services/agent/cuts_test.go
@@ -15,8 +15,8 @@
 
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 	"banyanwalk/services/engine"
 )
 
--- a/services/agent/exchange.go
+++ b/services/agent/exchange.go
@@ -14,7 +14,7 @@
 
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 const (
--- a/services/agent/execute.go
+++ b/services/agent/execute.go
@@ -14,8 +14,8 @@
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/quarantine"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 const (
--- a/services/agent/execution.go
+++ b/services/agent/execution.go
@@ -8,7 +8,7 @@
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/quarantine"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/services/agent/announce"
 )
 
--- a/services/agent/heartbeat.go
+++ b/services/agent/heartbeat.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"banyanwalk/core/fleet"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 const (
--- a/services/agent/loadreport.go
+++ b/services/agent/loadreport.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"banyanwalk/platform/pause"
+	"banyanwalk/infra/pause"
 	"banyanwalk/services/agent/announce"
 )
 
--- a/services/agent/order.go
+++ b/services/agent/order.go
@@ -13,7 +13,7 @@
 
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/services/agent/announce"
 )
 
--- a/services/agent/puller/fakes_test.go
+++ b/services/agent/puller/fakes_test.go
@@ -17,9 +17,9 @@
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/telemetry"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
 	"banyanwalk/services/agent"
 )
 
--- a/services/agent/puller/fleet_test.go
+++ b/services/agent/puller/fleet_test.go
@@ -17,9 +17,9 @@
 
 	"banyanwalk/core/batch"
 	"banyanwalk/core/fleet"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/telemetry"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
 	"banyanwalk/services/agent"
 	"banyanwalk/services/agent/announce"
 	"banyanwalk/services/agent/puller"
--- a/services/agent/puller/pull.go
+++ b/services/agent/puller/pull.go
@@ -9,7 +9,7 @@
 	"banyanwalk/core/batch"
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 const (
--- a/services/agent/puller/puller_test.go
+++ b/services/agent/puller/puller_test.go
@@ -14,7 +14,7 @@
 
 	"banyanwalk/core/batch"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/services/agent"
 )
 
--- a/services/agent/puller/report.go
+++ b/services/agent/puller/report.go
@@ -6,7 +6,7 @@
 
 	"banyanwalk/core/batch"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 // maybeCommit sends the results that wait. One commit is under way for a
--- a/services/agent/puller/run.go
+++ b/services/agent/puller/run.go
@@ -7,7 +7,7 @@
 	"banyanwalk/core/batch"
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/services/agent"
 )
 
--- a/services/agent/slots.go
+++ b/services/agent/slots.go
@@ -7,7 +7,7 @@
 
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 // Spare returns how many batch items may start now, over all targets.
--- a/services/agent/void_test.go
+++ b/services/agent/void_test.go
@@ -10,7 +10,7 @@
 	"banyanwalk/core/admission"
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/services/agent/announce"
 )
 
--- a/services/agent/watch.go
+++ b/services/agent/watch.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"banyanwalk/platform/pause"
+	"banyanwalk/infra/pause"
 )
 
 const (
--- a/services/capacity/population.go
+++ b/services/capacity/population.go
@@ -9,8 +9,8 @@
 
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/controlclient"
 )
 
--- a/services/control/admin.go
+++ b/services/control/admin.go
@@ -11,8 +11,8 @@
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/httpapi"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/httpapi"
+	"banyanwalk/infra/rpc"
 )
 
 // AdminPrefix is the path under which the operators' calls stand.
--- a/services/control/admin_test.go
+++ b/services/control/admin_test.go
@@ -11,7 +11,7 @@
 
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/services/control"
 	"banyanwalk/services/control/adminclient"
 )
--- a/services/control/adminclient/client.go
+++ b/services/control/adminclient/client.go
@@ -15,7 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/httpapi"
+	"banyanwalk/infra/httpapi"
 	"banyanwalk/services/control"
 )
 
--- a/services/control/auth.go
+++ b/services/control/auth.go
@@ -12,8 +12,8 @@
 	"github.com/google/uuid"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/httpapi"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/httpapi"
+	"banyanwalk/infra/rpc"
 )
 
 const (
--- a/services/control/bench_test.go
+++ b/services/control/bench_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanwalk/core/fleet"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 // BenchmarkRollInForce measures the time from an operator's command until the
--- a/services/control/config.go
+++ b/services/control/config.go
@@ -16,7 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"banyanwalk/core/bundle"
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/telemetry"
 )
 
 // ConfigGroup is the group that holds bundles, marks, targets and verdicts.
--- a/services/control/forward.go
+++ b/services/control/forward.go
@@ -7,8 +7,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 // Call is a unary call that runs on the leader, wherever it is.
--- a/services/control/limits/limits.go
+++ b/services/control/limits/limits.go
@@ -12,7 +12,7 @@
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/limit"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/services/control"
 )
 
--- a/services/control/membership.go
+++ b/services/control/membership.go
@@ -9,7 +9,7 @@
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/lease"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 // membership keeps the agents' leases while this host leads. Leases live in
--- a/services/control/operations.go
+++ b/services/control/operations.go
@@ -6,7 +6,7 @@
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 // operatorCalls are the operators' commands as any host can make them; they
--- a/services/control/payload/repair.go
+++ b/services/control/payload/repair.go
@@ -8,7 +8,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"banyanwalk/core/batch"
-	"banyanwalk/platform/pause"
+	"banyanwalk/infra/pause"
 )
 
 const (
--- a/services/control/payload/replicator_test.go
+++ b/services/control/payload/replicator_test.go
@@ -9,9 +9,9 @@
 
 	"banyanwalk/core/batch"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/telemetry"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
 )
 
 // hosts carries calls between stores in one process. Absent hosts are down.
--- a/services/control/racing_test.go
+++ b/services/control/racing_test.go
@@ -14,8 +14,8 @@
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 // shortAttempt lets an operator go on to the next host when one is cut off.
--- a/services/control/replica/api.go
+++ b/services/control/replica/api.go
@@ -1,5 +1,5 @@
 // Package replica runs replicas of any number of independent groups in one
-// process: it binds the consensus of core/raft to the files of platform/wal, a
+// process: it binds the consensus of core/raft to the files of infra/wal, a
 // transport and a state machine.
 package replica
 
--- a/services/control/replica/loop.go
+++ b/services/control/replica/loop.go
@@ -9,7 +9,7 @@
 
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/raft"
-	"banyanwalk/platform/wal"
+	"banyanwalk/infra/wal"
 )
 
 const (
--- a/services/control/replica/replica.go
+++ b/services/control/replica/replica.go
@@ -10,7 +10,7 @@
 
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/raft"
-	"banyanwalk/platform/wal"
+	"banyanwalk/infra/wal"
 )
 
 // Replica is one replica of one group. Its methods are safe for concurrent use.
--- a/services/control/replication_test.go
+++ b/services/control/replication_test.go
@@ -11,8 +11,8 @@
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 const tokenDigest = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08" // of "test"
--- a/services/control/server.go
+++ b/services/control/server.go
@@ -11,9 +11,9 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/telemetry"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
 	"banyanwalk/services/control/replica"
 )
 
--- a/services/control/state.go
+++ b/services/control/state.go
@@ -10,7 +10,7 @@
 
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/telemetry"
 )
 
 // maxSharedUpdates bounds the updates kept for subscribers to share.
--- a/services/control/status.go
+++ b/services/control/status.go
@@ -12,7 +12,7 @@
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/raft"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 // Status is the answer to GET status. The fleet's part is confirmed by a
--- a/services/control/subscribe.go
+++ b/services/control/subscribe.go
@@ -11,8 +11,8 @@
 	"github.com/sourcegraph/conc"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 // subscription is one subscriber's stream. Three goroutines serve it, so that
--- a/services/control/transport.go
+++ b/services/control/transport.go
@@ -10,8 +10,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"banyanwalk/core/raft"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 const (
--- a/services/control/work/bench_test.go
+++ b/services/control/work/bench_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanwalk/core/batch"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 // largestJob is the number of items of the largest job to design for.
--- a/services/control/work/chunker.go
+++ b/services/control/work/chunker.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"banyanwalk/core/batch"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/services/control/payload"
 )
 
--- a/services/control/work/files.go
+++ b/services/control/work/files.go
@@ -8,8 +8,8 @@
 
 	"banyanwalk/core/batch"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 // fileAnswer is the answer to a committed file.
--- a/services/control/work/idempotent.go
+++ b/services/control/work/idempotent.go
@@ -9,8 +9,8 @@
 	"banyanwalk/core/batch"
 	"banyanwalk/core/idempotency"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/httpapi"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/httpapi"
+	"banyanwalk/infra/rpc"
 )
 
 func (s *Service) groupOfBegin(r *rpc.IdempotentBegin) (uint32, error) {
--- a/services/control/work/items.go
+++ b/services/control/work/items.go
@@ -8,7 +8,7 @@
 
 	"banyanwalk/core/batch"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 // Bounds of one pull, whose items travel in one message. The last item may
--- a/services/control/work/jobs.go
+++ b/services/control/work/jobs.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"banyanwalk/core/batch"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 func (s *Service) leadCreateJob(ctx context.Context, request *batch.JobCreate) (*batch.Job, error) {
--- a/services/control/work/work_test.go
+++ b/services/control/work/work_test.go
@@ -14,7 +14,7 @@
 	"banyanwalk/core/batch"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/raft"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 func voterOf(voters []raft.ReplicaID, id, incarnation uint64) bool {
--- a/services/controlclient/client.go
+++ b/services/controlclient/client.go
@@ -15,10 +15,10 @@
 
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/pause"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/telemetry"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/pause"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
 )
 
 const (
--- a/services/controlclient/fake_test.go
+++ b/services/controlclient/fake_test.go
@@ -15,9 +15,9 @@
 
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/telemetry"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
 )
 
 const (
--- a/services/engine/announcer.go
+++ b/services/engine/announcer.go
@@ -9,8 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"banyanwalk/platform/pause"
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/pause"
+	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/agent/announce"
 )
 
--- a/services/engine/completion.go
+++ b/services/engine/completion.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"banyanwalk/platform/pause"
+	"banyanwalk/infra/pause"
 )
 
 // shape tells the two completion interfaces apart.
--- a/services/engine/echo.go
+++ b/services/engine/echo.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"banyanwalk/platform/pause"
+	"banyanwalk/infra/pause"
 )
 
 // Echo is the answer of a plain service: what it received.
--- a/services/engine/engine.go
+++ b/services/engine/engine.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
-	"banyanwalk/platform/pause"
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/pause"
+	"banyanwalk/infra/telemetry"
 )
 
 const (
--- a/services/engine/engine_test.go
+++ b/services/engine/engine_test.go
@@ -18,7 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanwalk/core/bundle"
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/telemetry"
 )
 
 const waitLimit = 30 * time.Second
--- a/services/engine/faults.go
+++ b/services/engine/faults.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"banyanwalk/platform/pause"
+	"banyanwalk/infra/pause"
 )
 
 // Faults is the body of POST /debug/faults. Fields that are zero change
--- a/services/engine/record_test.go
+++ b/services/engine/record_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/telemetry"
 )
 
 // TestRequestOfEndedIncarnationIsNoLoad lets a handler of a crashed
--- a/services/gateway/attempt.go
+++ b/services/gateway/attempt.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 const eventStream = "text/event-stream"
--- a/services/gateway/batchapi/api.go
+++ b/services/gateway/batchapi/api.go
@@ -13,9 +13,9 @@
 	"banyanwalk/core/auth"
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/httpapi"
-	"banyanwalk/platform/telemetry"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/httpapi"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
 	"banyanwalk/services/gateway"
 )
 
--- a/services/gateway/batchapi/api_test.go
+++ b/services/gateway/batchapi/api_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanwalk/core/batch"
-	"banyanwalk/platform/httpapi"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/httpapi"
+	"banyanwalk/infra/rpc"
 )
 
 func TestJobOverHTTP(t *testing.T) {
--- a/services/gateway/batchapi/contents.go
+++ b/services/gateway/batchapi/contents.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 const (
--- a/services/gateway/batchapi/jobs.go
+++ b/services/gateway/batchapi/jobs.go
@@ -10,8 +10,8 @@
 
 	"banyanwalk/core/batch"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 const (
--- a/services/gateway/config.go
+++ b/services/gateway/config.go
@@ -7,8 +7,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"banyanwalk/core/fleet"
-	"banyanwalk/platform/telemetry"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
 )
 
 // Defaults of Config.
--- a/services/gateway/cut_test.go
+++ b/services/gateway/cut_test.go
@@ -13,9 +13,9 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/httpapi"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/httpapi"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 // cutter relays TCP connections to an address and cuts each after a number of
--- a/services/gateway/dispatch.go
+++ b/services/gateway/dispatch.go
@@ -7,7 +7,7 @@
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/retry"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/rpc"
 )
 
 // dispatch carries one request through its attempts.
--- a/services/gateway/dispatch_test.go
+++ b/services/gateway/dispatch_test.go
@@ -13,8 +13,8 @@
 	"banyanwalk/core/auth"
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 func TestNotRunIsRetriedOnAnotherTarget(t *testing.T) {
--- a/services/gateway/fixture_test.go
+++ b/services/gateway/fixture_test.go
@@ -18,9 +18,9 @@
 	"banyanwalk/core/auth"
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/telemetry"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
 )
 
 const (
--- a/services/gateway/gone_test.go
+++ b/services/gateway/gone_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 // When a caller gives up, its attempt is cancelled at the agent; a call that
--- a/services/gateway/handler.go
+++ b/services/gateway/handler.go
@@ -9,8 +9,8 @@
 
 	"banyanwalk/core/auth"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/httpapi"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/httpapi"
+	"banyanwalk/infra/rpc"
 )
 
 // serve answers a request for a model, which its body names, or for a plain
--- a/services/gateway/idempotency_test.go
+++ b/services/gateway/idempotency_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 // fakeControl keeps idempotency records in memory. Leases never lapse.
--- a/services/gateway/limits.go
+++ b/services/gateway/limits.go
@@ -11,8 +11,8 @@
 
 	"banyanwalk/core/limit"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/telemetry"
 )
 
 const (
--- a/services/gateway/mix_test.go
+++ b/services/gateway/mix_test.go
@@ -12,9 +12,9 @@
 
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/httpapi"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/httpapi"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 // behaviour is what an agent does with one attempt.
--- a/services/gateway/models.go
+++ b/services/gateway/models.go
@@ -4,7 +4,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"banyanwalk/core/bundle"
-	"banyanwalk/platform/httpapi"
+	"banyanwalk/infra/httpapi"
 )
 
 // modelList is the answer of GET /v1/models.
--- a/services/gateway/pump.go
+++ b/services/gateway/pump.go
@@ -7,8 +7,8 @@
 	"strconv"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/httpapi"
-	"banyanwalk/platform/rpc"
+	"banyanwalk/infra/httpapi"
+	"banyanwalk/infra/rpc"
 )
 
 // pump carries a stream of server-sent events to its caller and continues it
--- a/services/gateway/server.go
+++ b/services/gateway/server.go
@@ -14,7 +14,7 @@
 
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/retry"
-	"banyanwalk/platform/httpapi"
+	"banyanwalk/infra/httpapi"
 )
 
 // Server is one gateway.
--- a/services/gateway/server_test.go
+++ b/services/gateway/server_test.go
@@ -11,9 +11,9 @@
 	"banyanwalk/core/auth"
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/httpapi"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/httpapi"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 func requireCode(t *testing.T, r reply, code outcome.Code, o outcome.Outcome) {
--- a/services/gateway/stream_test.go
+++ b/services/gateway/stream_test.go
@@ -12,8 +12,8 @@
 
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/rpc"
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 )
 
 const generated = 12 // tokens
--- a/services/load/batch.go
+++ b/services/load/batch.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"banyanwalk/platform/pause"
+	"banyanwalk/infra/pause"
 	"banyanwalk/services/engine"
 )
 
--- a/services/load/caller.go
+++ b/services/load/caller.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/platform/pause"
+	"banyanwalk/infra/pause"
 	"banyanwalk/services/engine"
 )
 
--- a/services/load/run.go
+++ b/services/load/run.go
@@ -11,7 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
-	"banyanwalk/platform/pause"
+	"banyanwalk/infra/pause"
 )
 
 const (
--- a/services/node/control.go
+++ b/services/node/control.go
@@ -4,7 +4,7 @@
 	"context"
 	"net"
 
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/control"
 	"banyanwalk/services/control/limits"
 	"banyanwalk/services/control/work"
--- a/services/node/gateway.go
+++ b/services/node/gateway.go
@@ -4,7 +4,7 @@
 	"context"
 	"net"
 
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/wire"
 	"banyanwalk/services/gateway"
 	"banyanwalk/services/gateway/batchapi"
 )
--- a/services/node/node.go
+++ b/services/node/node.go
@@ -10,7 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc/pool"
 
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/controlclient"
 )
 
--- a/services/timeline/timeline_test.go
+++ b/services/timeline/timeline_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"banyanwalk/platform/telemetry"
+	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/timeline"
 )
 
--- a/tests/tls_test.go
+++ b/tests/tls_test.go
@@ -25,7 +25,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"banyanwalk/platform/wire"
+	"banyanwalk/infra/wire"
 )
 
 const tlsBatchItems = 20
