--- /dev/null
+++ b/core/catalog/catalog_test.go
@@ -0,0 +1,89 @@
+package catalog
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"banyanwalk/core/outcome"
+)
+
+func put(version uint64, body string) Command {
+	return Command{Put: &PutDocument{Version: version, Body: []byte(body)}}
+}
+
+func TestHighestVersionIsInForce(t *testing.T) {
+	m := New()
+	require.True(t, m.Apply(1, put(5, "five")).Changed)
+	before := m.State()
+	assert.Equal(t, Result{}, m.Apply(2, put(3, "three")), "an overtaken version changes nothing")
+	assert.Equal(t, Result{}, m.Apply(3, put(5, "five")), "a resend changes nothing")
+	refused := m.Apply(4, put(5, "other"))
+	require.NotNil(t, refused.Error)
+	assert.Equal(t, outcome.BundleConflict, refused.Error.Code)
+	require.True(t, m.Apply(5, put(9, "nine")).Changed)
+	assert.Equal(t, uint64(9), m.State().Version)
+	assert.Equal(t, "nine", string(m.State().Body))
+	assert.Equal(t, uint64(5), m.State().Revision)
+	assert.Equal(t, "five", string(before.Body), "a state that was handed out stays as it was")
+}
+
+func TestCentresGoOutAndBack(t *testing.T) {
+	m := New()
+	set := func(name string, out bool) bool {
+		return m.Apply(1, Command{Centre: &SetCentre{DataCentre: name, Out: out}}).Changed
+	}
+	assert.True(t, set("b", true))
+	assert.True(t, set("a", true))
+	assert.False(t, set("a", true))
+	assert.Equal(t, []string{"a", "b"}, m.State().Out)
+	assert.True(t, set("b", false))
+	assert.False(t, set("b", false))
+	assert.True(t, m.State().IsOut("a"))
+	assert.False(t, m.State().IsOut("b"))
+}
+
+func TestFirstFoundingWins(t *testing.T) {
+	m := New()
+	assert.True(t, m.Apply(1, Command{Found: &FoundStorage{Hosts: []uint64{1, 2, 3}}}).Changed)
+	assert.False(t, m.Apply(2, Command{Found: &FoundStorage{Hosts: []uint64{4}}}).Changed)
+	assert.Equal(t, []uint64{1, 2, 3}, m.State().Founders)
+}
+
+func TestRetirementEndsOnce(t *testing.T) {
+	m := New()
+	retire := func(done bool) bool {
+		return m.Apply(1, Command{Retire: &RetireHost{Host: 7, Name: "s7", Done: done}}).Changed
+	}
+	assert.True(t, retire(false))
+	assert.False(t, retire(false))
+	assert.True(t, retire(true))
+	assert.False(t, retire(false), "a host that is empty is not emptied again")
+	r, found := m.State().Retirement("s7")
+	assert.True(t, found && r.Done)
+}
+
+// Whatever order racing operators' documents come in, the version in force
+// never falls, and its content is the first that was taken under it.
+func TestVersionsNeverFall(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New()
+		taken := map[uint64]string{}
+		last := uint64(0)
+		for i := range rapid.IntRange(1, 60).Draw(t, "commands") {
+			version := rapid.Uint64Range(1, 12).Draw(t, "version")
+			body := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "body")
+			result := m.Apply(uint64(i+1), put(version, body))
+			if result.Changed {
+				require.Greater(t, version, last)
+				taken[version] = body
+			}
+			s := m.State()
+			require.GreaterOrEqual(t, s.Version, last)
+			require.Equal(t, taken[s.Version], string(s.Body))
+			last = s.Version
+		}
+	})
+}
--- /dev/null
+++ b/core/jobs/jobs.go
@@ -0,0 +1,261 @@
+// Package jobs is the replicated state of jobs that are handed in directly:
+// each is accepted once, its results take positions that never change, and its
+// open items are known until they are done, given up or ended. The machine is
+// deterministic; it knows neither time nor targets.
+package jobs
+
+import (
+	"banyanwalk/core/outcome"
+)
+
+// Header is one HTTP header of an item.
+type Header struct {
+	Name  string `msgpack:"n"`
+	Value string `msgpack:"v"`
+}
+
+// Item is one request of a job.
+type Item struct {
+	ID      string   `msgpack:"i"`
+	Path    string   `msgpack:"p"` // path and query
+	Headers []Header `msgpack:"h"`
+	Body    []byte   `msgpack:"b"` // nil once the item is listed
+	Tokens  int64    `msgpack:"t"` // of the prompt and, at most, of the answer
+}
+
+// Spec is a job as it is handed in.
+type Spec struct {
+	ID           string `msgpack:"i"` // drawn by the caller; the same id is the same job
+	Workspace    string `msgpack:"w"`
+	Route        string `msgpack:"r"` // name of the route that the quota counts for
+	Host         string `msgpack:"h"` // of the route, for the items' requests
+	Items        []Item `msgpack:"t"`
+	CompletionMS int64  `msgpack:"c"` // all results are due so long after the submission
+	MaxWaitMS    int64  `msgpack:"m"` // an item may be given up so long after it
+	MaxAttempts  int    `msgpack:"a"` // failed attempts after which an item may be given up
+	MaxQueued    int64  `msgpack:"q"` // tokens of the workspace on the route; 0: no limit
+}
+
+// State is the final state of an item.
+type State uint8
+
+// The final states.
+const (
+	Completed State = iota + 1
+	Abandoned
+)
+
+// Result is one listed result.
+type Result struct {
+	Item  int    `msgpack:"i"` // position of the item in its job
+	State State  `msgpack:"s"`
+	Text  string `msgpack:"t"` // data of all events, in order
+}
+
+// Job is an accepted job.
+type Job struct {
+	Spec
+	Results  []Result `msgpack:"x"` // in the order of their end; positions never change
+	Ended    bool     `msgpack:"e"` // by its caller: open items are dropped
+	Listed   []bool   `msgpack:"l"` // by item
+	Failures []int    `msgpack:"f"` // failed attempts by item
+}
+
+// Open reports whether an item is still to be run.
+func (j *Job) Open(item int) bool { return !j.Ended && !j.Listed[item] }
+
+// Unfinished reports whether any item is still to be run.
+func (j *Job) Unfinished() bool { return !j.Ended && len(j.Results) < len(j.Items) }
+
+// waiting returns the tokens of the open items.
+func (j *Job) waiting() int64 {
+	if j.Ended {
+		return 0
+	}
+	sum := int64(0)
+	for i := range j.Items {
+		if !j.Listed[i] {
+			sum += j.Items[i].Tokens
+		}
+	}
+	return sum
+}
+
+// Command is one entry of the job group's log. Exactly one field is set.
+type Command struct {
+	Submit *Spec      `msgpack:"s,omitempty"`
+	Finish []Finished `msgpack:"f,omitempty"`
+	Failed []ItemRef  `msgpack:"x,omitempty"`
+	End    *EndJob    `msgpack:"e,omitempty"`
+	Drop   []string   `msgpack:"d,omitempty"` // ids of jobs that need not be kept any more
+}
+
+// ItemRef names an item.
+type ItemRef struct {
+	Job  string `msgpack:"j"`
+	Item int    `msgpack:"i"`
+}
+
+// Finished is the final state of one item.
+type Finished struct {
+	ItemRef
+	State State  `msgpack:"s"`
+	Text  string `msgpack:"t"`
+}
+
+// EndJob ends a job on behalf of its workspace.
+type EndJob struct {
+	Job       string `msgpack:"j"`
+	Workspace string `msgpack:"w"`
+}
+
+// Result of a command.
+type Answer struct {
+	Error *outcome.Error // the command was refused
+	New   *Job           // by Submit, when the job was not known
+}
+
+// Machine applies commands in the order of the log. It is not safe for
+// concurrent use.
+type Machine struct {
+	jobs  map[string]*Job
+	order []string // ids in the order of their acceptance
+}
+
+// NewMachine returns the machine before the first command.
+func NewMachine() *Machine { return &Machine{jobs: make(map[string]*Job)} }
+
+// Job returns a job by its id, or nil. It must not be changed.
+func (m *Machine) Job(id string) *Job { return m.jobs[id] }
+
+// Jobs returns all jobs in the order of their acceptance.
+func (m *Machine) Jobs() []*Job {
+	all := make([]*Job, 0, len(m.order))
+	for _, id := range m.order {
+		all = append(all, m.jobs[id])
+	}
+	return all
+}
+
+// Apply executes one command.
+func (m *Machine) Apply(c Command) Answer {
+	switch {
+	case c.Submit != nil:
+		return m.submit(c.Submit)
+	case len(c.Finish) > 0:
+		m.finish(c.Finish)
+	case len(c.Failed) > 0:
+		m.fail(c.Failed)
+	case c.End != nil:
+		return m.end(c.End)
+	case len(c.Drop) > 0:
+		m.drop(c.Drop)
+	}
+	return Answer{}
+}
+
+// submit accepts a job once. A resend is answered as the first one.
+func (m *Machine) submit(s *Spec) Answer {
+	if known := m.jobs[s.ID]; known != nil {
+		if known.Workspace != s.Workspace {
+			return Answer{Error: outcome.New(outcome.IdempotencyMismatch, outcome.NotRun, "job %q belongs to another workspace", s.ID)}
+		}
+		return Answer{}
+	}
+	if s.MaxQueued > 0 {
+		waiting := m.Waiting(s.Workspace, s.Route)
+		if waiting+tokens(s.Items) > s.MaxQueued {
+			return Answer{Error: outcome.New(outcome.RateLimited, outcome.NotRun,
+				"%d tokens wait and %d more are over the limit of %d", waiting, tokens(s.Items), s.MaxQueued)}
+		}
+	}
+	job := &Job{Spec: *s, Listed: make([]bool, len(s.Items)), Failures: make([]int, len(s.Items))}
+	m.jobs[s.ID] = job
+	m.order = append(m.order, s.ID)
+	return Answer{New: job}
+}
+
+// Waiting returns the tokens of a workspace's open items on a route.
+func (m *Machine) Waiting(workspace, route string) int64 {
+	sum := int64(0)
+	for _, job := range m.jobs {
+		if job.Workspace == workspace && job.Route == route {
+			sum += job.waiting()
+		}
+	}
+	return sum
+}
+
+func tokens(items []Item) int64 {
+	sum := int64(0)
+	for i := range items {
+		sum += items[i].Tokens
+	}
+	return sum
+}
+
+// finish lists results. The first result of an item wins.
+func (m *Machine) finish(results []Finished) {
+	for _, f := range results {
+		job := m.jobs[f.Job]
+		if job == nil || f.Item < 0 || f.Item >= len(job.Items) || !job.Open(f.Item) {
+			continue
+		}
+		job.Listed[f.Item] = true
+		job.Items[f.Item].Body = nil
+		job.Results = append(job.Results, Result{Item: f.Item, State: f.State, Text: f.Text})
+	}
+}
+
+func (m *Machine) fail(items []ItemRef) {
+	for _, ref := range items {
+		if job := m.jobs[ref.Job]; job != nil && ref.Item >= 0 && ref.Item < len(job.Items) {
+			job.Failures[ref.Item]++
+		}
+	}
+}
+
+func (m *Machine) end(e *EndJob) Answer {
+	job := m.jobs[e.Job]
+	if job == nil || job.Workspace != e.Workspace {
+		return Answer{Error: outcome.New(outcome.JobNotFound, outcome.NotRun, "no job %q", e.Job)}
+	}
+	if !job.Ended {
+		job.Ended = true
+		for i := range job.Items {
+			job.Items[i].Body = nil
+		}
+	}
+	return Answer{}
+}
+
+func (m *Machine) drop(ids []string) {
+	for _, id := range ids {
+		delete(m.jobs, id)
+	}
+	kept := m.order[:0]
+	for _, id := range m.order {
+		if m.jobs[id] != nil {
+			kept = append(kept, id)
+		}
+	}
+	m.order = kept
+}
+
+// Snapshot is the whole state.
+type Snapshot struct {
+	Jobs []*Job `msgpack:"j"` // in the order of their acceptance
+}
+
+// Snapshot returns the whole state, which shares its jobs with the machine.
+func (m *Machine) Snapshot() Snapshot { return Snapshot{Jobs: m.Jobs()} }
+
+// Restore returns the machine with a given state.
+func Restore(s Snapshot) *Machine {
+	m := NewMachine()
+	for _, job := range s.Jobs {
+		m.jobs[job.ID] = job
+		m.order = append(m.order, job.ID)
+	}
+	return m
+}
--- /dev/null
+++ b/core/jobs/jobs_test.go
@@ -0,0 +1,122 @@
+package jobs
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"banyanwalk/core/outcome"
+)
+
+func spec(id, workspace string, items int) *Spec {
+	s := &Spec{ID: id, Workspace: workspace, Route: "r", MaxQueued: 100}
+	for i := range items {
+		s.Items = append(s.Items, Item{ID: id + string(rune('a'+i)), Body: []byte("body"), Tokens: 10})
+	}
+	return s
+}
+
+func done(job string, item int, text string) Command {
+	return Command{Finish: []Finished{{ItemRef: ItemRef{Job: job, Item: item}, State: Completed, Text: text}}}
+}
+
+func TestAJobIsAcceptedOnce(t *testing.T) {
+	m := NewMachine()
+	require.NotNil(t, m.Apply(Command{Submit: spec("j", "w", 3)}).New)
+	again := m.Apply(Command{Submit: spec("j", "w", 3)})
+	assert.Nil(t, again.New)
+	assert.Nil(t, again.Error)
+	assert.Len(t, m.Jobs(), 1)
+	other := m.Apply(Command{Submit: spec("j", "other", 3)})
+	require.NotNil(t, other.Error)
+	assert.Equal(t, outcome.IdempotencyMismatch, other.Error.Code)
+}
+
+func TestTokensOfAWorkspaceAreBounded(t *testing.T) {
+	m := NewMachine()
+	require.Nil(t, m.Apply(Command{Submit: spec("j1", "w", 6)}).Error)
+	refused := m.Apply(Command{Submit: spec("j2", "w", 5)})
+	require.NotNil(t, refused.Error)
+	assert.Equal(t, outcome.RateLimited, refused.Error.Code)
+	require.Nil(t, m.Apply(Command{Submit: spec("j3", "other", 10)}).Error, "another workspace has its own")
+	m.Apply(done("j1", 0, "x"))
+	require.Nil(t, m.Apply(Command{Submit: spec("j2", "w", 5)}).Error, "a listed item waits no more")
+	m.Apply(Command{End: &EndJob{Job: "j1", Workspace: "w"}})
+	assert.EqualValues(t, 50, m.Waiting("w", "r"))
+}
+
+func TestPositionsNeverChange(t *testing.T) {
+	m := NewMachine()
+	m.Apply(Command{Submit: spec("j", "w", 3)})
+	m.Apply(done("j", 2, "first"))
+	m.Apply(done("j", 2, "second run"))
+	m.Apply(done("j", 0, "zero"))
+	m.Apply(done("j", 9, "no such item"))
+	job := m.Job("j")
+	assert.Equal(t, []Result{{Item: 2, State: Completed, Text: "first"}, {Item: 0, State: Completed, Text: "zero"}}, job.Results)
+	assert.Nil(t, job.Items[2].Body)
+	assert.NotNil(t, job.Items[1].Body)
+	assert.True(t, job.Unfinished())
+}
+
+func TestAnEndedJobListsNothingMore(t *testing.T) {
+	m := NewMachine()
+	m.Apply(Command{Submit: spec("j", "w", 2)})
+	require.NotNil(t, m.Apply(Command{End: &EndJob{Job: "j", Workspace: "other"}}).Error)
+	require.Nil(t, m.Apply(Command{End: &EndJob{Job: "j", Workspace: "w"}}).Error)
+	require.Nil(t, m.Apply(Command{End: &EndJob{Job: "j", Workspace: "w"}}).Error, "a resend")
+	m.Apply(done("j", 0, "late"))
+	assert.Empty(t, m.Job("j").Results)
+	assert.False(t, m.Job("j").Unfinished())
+}
+
+// A machine restored at any point goes on as the one that it was taken from.
+func TestSnapshotsGoOn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewMachine()
+		copied := NewMachine()
+		cut := rapid.IntRange(0, 30).Draw(t, "cut")
+		for i := range 30 {
+			c := draw(t)
+			m.Apply(c)
+			if i == cut {
+				copied = Restore(clone(m.Snapshot()))
+			} else {
+				copied.Apply(c)
+			}
+		}
+		if cut == 30 {
+			return
+		}
+		require.Equal(t, m.Snapshot(), copied.Snapshot())
+	})
+}
+
+func draw(t *rapid.T) Command {
+	id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0, 1:
+		return Command{Submit: spec(id, "w", 3)}
+	case 2:
+		return done(id, rapid.IntRange(0, 2).Draw(t, "item"), "text")
+	case 3:
+		return Command{Failed: []ItemRef{{Job: id, Item: 1}}}
+	default:
+		return Command{End: &EndJob{Job: id, Workspace: "w"}}
+	}
+}
+
+func clone(s Snapshot) Snapshot {
+	var out Snapshot
+	for _, job := range s.Jobs {
+		dup := *job
+		dup.Items = append([]Item(nil), job.Items...)
+		dup.Listed = append([]bool(nil), job.Listed...)
+		dup.Failures = append([]int(nil), job.Failures...)
+		dup.Results = append([]Result(nil), job.Results...)
+		out.Jobs = append(out.Jobs, &dup)
+	}
+	return out
+}
--- /dev/null
+++ b/core/placement/placement.go
@@ -0,0 +1,310 @@
+// Package placement chooses the target of a request from what is known of the
+// fleet: who is in service, how full each one is, and which ones have failed of
+// late. It does no I/O and takes the time as an argument.
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"banyanwalk/core/roster"
+)
+
+const (
+	// firstAvoidance is how long a target is avoided after a failure; it
+	// doubles with each further one up to maxAvoidance.
+	firstAvoidance = 500 * time.Millisecond
+	maxAvoidance   = 8 * time.Second
+	// remotePenalty is how much fuller, in shares of its slots, a target of the
+	// own data centre may be than one elsewhere and still go first.
+	remotePenalty = 0.13
+	// defaultSlots stands for targets that do not tell their slots.
+	defaultSlots = 4
+)
+
+// Load is the requests that one process has at a target.
+type Load struct {
+	Online int `msgpack:"o"`
+	Batch  int `msgpack:"b"`
+}
+
+// Targets is the fleet as one process sees it. It is safe for concurrent use.
+type Targets struct {
+	dataCentre string
+	mu         sync.Mutex
+	services   map[string][]*roster.Record
+	byID       map[string]*roster.Record
+	out        func(dataCentre string) bool
+	own        map[string]Load
+	others     map[string]Load
+	failures   map[string]*failure
+	cold       map[string]*allowance
+	processes  int // that share what a cold target bears
+}
+
+type failure struct {
+	count int
+	until time.Time
+}
+
+// allowance counts what was sent to a cold target in the second from start.
+type allowance struct {
+	start time.Time
+	used  int
+}
+
+// New returns the view of a process in a data centre, with no targets.
+func New(dataCentre string) *Targets {
+	return &Targets{
+		dataCentre: dataCentre,
+		services:   make(map[string][]*roster.Record),
+		byID:       make(map[string]*roster.Record),
+		out:        func(string) bool { return false },
+		own:        make(map[string]Load),
+		others:     make(map[string]Load),
+		failures:   make(map[string]*failure),
+		cold:       make(map[string]*allowance),
+		processes:  1,
+	}
+}
+
+// SetRecords replaces the known targets.
+func (t *Targets) SetRecords(records []*roster.Record) {
+	services := make(map[string][]*roster.Record)
+	byID := make(map[string]*roster.Record, len(records))
+	for _, r := range records {
+		byID[r.ID] = r
+		if r.State == roster.Ready {
+			services[r.Service] = append(services[r.Service], r)
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, former := range t.byID {
+		if now := byID[id]; now == nil || now.Born != former.Born {
+			delete(t.failures, id)
+			delete(t.cold, id)
+		}
+	}
+	t.services = services
+	t.byID = byID
+}
+
+// SetOut replaces the data centres that are out of service.
+func (t *Targets) SetOut(names []string) {
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.out = func(dataCentre string) bool { return set[dataCentre] }
+}
+
+// SetOthers replaces what the other processes have at each target, and how
+// many processes there are with this one.
+func (t *Targets) SetOthers(loads map[string]Load, processes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.others = loads
+	t.processes = max(1, processes)
+}
+
+// Own returns what this process has at each target.
+func (t *Targets) Own() map[string]Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := make(map[string]Load, len(t.own))
+	for id, load := range t.own {
+		own[id] = load
+	}
+	return own
+}
+
+// Query asks for the target of one request.
+type Query struct {
+	Service         string
+	WarmupPerSecond float64 // requests that one cold target bears
+	Batch           bool
+	Spare           int             // slots that are to stay free, for batch
+	Exclude         map[string]bool // ids that have been tried
+}
+
+// Acquire chooses a target and counts the request there until Release. It
+// returns nil when no target can take the request.
+func (t *Targets) Acquire(now time.Time, q Query) *roster.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best := t.best(now, q, false)
+	if best == nil && !q.Batch {
+		best = t.best(now, q, true)
+	}
+	if best == nil {
+		return nil
+	}
+	t.count(best.ID, q.Batch, 1)
+	t.spendAllowance(now, best)
+	return best
+}
+
+// best returns the least full target. avoided says that targets which failed
+// of late are considered too.
+func (t *Targets) best(now time.Time, q Query, avoided bool) *roster.Record {
+	var best *roster.Record
+	least := 0.0
+	for _, r := range t.services[q.Service] {
+		if q.Exclude[r.ID] || t.out(r.DataCentre) || !t.bears(now, r, q) {
+			continue
+		}
+		if !avoided && t.isAvoided(now, r.ID) {
+			continue
+		}
+		fill := t.fill(r)
+		if q.Batch && t.total(r.ID)+q.Spare >= slotsOf(r) {
+			continue
+		}
+		if r.DataCentre != t.dataCentre {
+			fill += remotePenalty
+		}
+		if best == nil || fill < least {
+			best, least = r, fill
+		}
+	}
+	return best
+}
+
+// fill is the share of a target's slots that are taken.
+func (t *Targets) fill(r *roster.Record) float64 {
+	return float64(t.total(r.ID)) / float64(slotsOf(r))
+}
+
+func (t *Targets) total(id string) int {
+	own, others := t.own[id], t.others[id]
+	return own.Online + own.Batch + others.Online + others.Batch
+}
+
+func slotsOf(r *roster.Record) int {
+	if r.Slots > 0 {
+		return r.Slots
+	}
+	return defaultSlots
+}
+
+func (t *Targets) isAvoided(now time.Time, id string) bool {
+	f := t.failures[id]
+	return f != nil && now.Before(f.until)
+}
+
+// bears reports whether a cold target can take one more request from this
+// process in the current second.
+func (t *Targets) bears(now time.Time, r *roster.Record, q Query) bool {
+	if q.WarmupPerSecond <= 0 || !isCold(now, r) {
+		return true
+	}
+	a := t.cold[r.ID]
+	if a == nil || now.Sub(a.start) >= time.Second {
+		return true
+	}
+	share := max(1, int(q.WarmupPerSecond)/t.processes)
+	return a.used < share
+}
+
+func isCold(now time.Time, r *roster.Record) bool {
+	return !r.ColdUntil.IsZero() && now.Before(r.ColdUntil)
+}
+
+func (t *Targets) spendAllowance(now time.Time, r *roster.Record) {
+	if !isCold(now, r) {
+		return
+	}
+	a := t.cold[r.ID]
+	if a == nil || now.Sub(a.start) >= time.Second {
+		a = &allowance{start: now}
+		t.cold[r.ID] = a
+	}
+	a.used++
+}
+
+func (t *Targets) count(id string, batch bool, by int) {
+	load := t.own[id]
+	if batch {
+		load.Batch += by
+	} else {
+		load.Online += by
+	}
+	if load == (Load{}) {
+		delete(t.own, id)
+		return
+	}
+	t.own[id] = load
+}
+
+// Release ends a request that Acquire counted.
+func (t *Targets) Release(id string, batch bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.count(id, batch, -1)
+}
+
+// Failed notes that a target broke off or could not be reached.
+func (t *Targets) Failed(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.failures[id]
+	if f == nil {
+		f = &failure{}
+		t.failures[id] = f
+	}
+	avoid := min(firstAvoidance<<min(f.count, 10), maxAvoidance)
+	f.count++
+	f.until = now.Add(avoid)
+}
+
+// Succeeded notes that a target has answered.
+func (t *Targets) Succeeded(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.failures, id)
+}
+
+// Usable reports whether a target may still get requests.
+func (t *Targets) Usable(id string, born int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.byID[id]
+	return r != nil && r.Born == born && r.State == roster.Ready && !t.out(r.DataCentre)
+}
+
+// Free returns the slots of a service's targets in service, those that are
+// taken, and how many targets there are.
+func (t *Targets) Free(service string) (slots, taken, targets int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.services[service] {
+		if t.out(r.DataCentre) {
+			continue
+		}
+		slots += slotsOf(r)
+		taken += t.total(r.ID)
+		targets++
+	}
+	return slots, taken, targets
+}
+
+// Crowded returns the targets where requests wait although batch items run
+// that this process could take away, with how many of them.
+func (t *Targets) Crowded(spare int) map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	crowded := make(map[string]int)
+	for id, own := range t.own {
+		r := t.byID[id]
+		if r == nil || own.Batch == 0 {
+			continue
+		}
+		if over := t.total(id) + spare - slotsOf(r); over > 0 {
+			crowded[id] = min(over, own.Batch)
+		}
+	}
+	return crowded
+}
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,101 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"banyanwalk/core/roster"
+)
+
+var start = time.Unix(1000, 0)
+
+func record(id, dataCentre string) *roster.Record {
+	return &roster.Record{Report: roster.Report{
+		ID: id, Born: 1, Service: "llm", Addr: id, DataCentre: dataCentre, Slots: 8, State: roster.Ready,
+	}}
+}
+
+func acquire(t *Targets, q Query) string {
+	q.Service = "llm"
+	r := t.Acquire(start, q)
+	if r == nil {
+		return ""
+	}
+	return r.ID
+}
+
+func TestOwnDataCentreFirstUntilItIsFuller(t *testing.T) {
+	targets := New("a")
+	targets.SetRecords([]*roster.Record{record("far", "b"), record("near", "a")})
+	got := map[string]int{}
+	for range 16 {
+		got[acquire(targets, Query{})]++
+	}
+	assert.Equal(t, map[string]int{"near": 9, "far": 7}, got)
+	targets.Release("near", false)
+	assert.Equal(t, 8, targets.Own()["near"].Online)
+}
+
+func TestWhoIsOutGetsNothing(t *testing.T) {
+	targets := New("a")
+	draining, gone := record("draining", "a"), record("gone", "a")
+	draining.State = roster.Draining
+	gone.State = roster.Gone
+	targets.SetRecords([]*roster.Record{draining, gone, record("far", "b")})
+	assert.Equal(t, "far", acquire(targets, Query{}))
+	targets.SetOut([]string{"b"})
+	assert.Equal(t, "", acquire(targets, Query{}))
+	assert.False(t, targets.Usable("far", 1))
+	targets.SetOut(nil)
+	assert.True(t, targets.Usable("far", 1))
+	assert.False(t, targets.Usable("far", 2))
+	assert.Equal(t, "", acquire(targets, Query{Exclude: map[string]bool{"far": true}}))
+}
+
+func TestFailedTargetsAreTheLastResort(t *testing.T) {
+	targets := New("a")
+	targets.SetRecords([]*roster.Record{record("one", "a"), record("two", "a")})
+	targets.Failed(start, "one")
+	for range 8 {
+		require.Equal(t, "two", acquire(targets, Query{}))
+	}
+	targets.Failed(start, "two")
+	assert.Equal(t, "one", acquire(targets, Query{}), "better one that failed than none")
+	assert.Equal(t, "", acquire(targets, Query{Batch: true}), "batch can wait")
+	targets.Succeeded("two")
+	assert.Equal(t, "two", acquire(targets, Query{}))
+}
+
+func TestColdTargetsGetWhatTheyBear(t *testing.T) {
+	targets := New("a")
+	cold := record("cold", "a")
+	cold.ColdUntil = start.Add(3 * time.Second)
+	targets.SetRecords([]*roster.Record{cold})
+	targets.SetOthers(nil, 4)
+	sent := 0
+	for acquire(targets, Query{WarmupPerSecond: 20}) != "" {
+		sent++
+	}
+	assert.Equal(t, 5, sent, "four processes share what it bears")
+	r := targets.Acquire(start.Add(time.Second), Query{Service: "llm", WarmupPerSecond: 20})
+	assert.NotNil(t, r)
+}
+
+func TestBatchLeavesRoomAndGivesWay(t *testing.T) {
+	targets := New("a")
+	targets.SetRecords([]*roster.Record{record("one", "a")})
+	sent := 0
+	for acquire(targets, Query{Batch: true, Spare: 2}) != "" {
+		sent++
+	}
+	assert.Equal(t, 6, sent)
+	assert.Empty(t, targets.Crowded(0))
+	targets.SetOthers(map[string]Load{"one": {Online: 5}}, 2)
+	assert.Equal(t, map[string]int{"one": 3}, targets.Crowded(0))
+	slots, taken, count := targets.Free("llm")
+	assert.Equal(t, "8 11 1", fmt.Sprint(slots, taken, count))
+}
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,113 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func report(id string, born int64, sequence uint64, state State) Report {
+	return Report{ID: id, Born: born, Sequence: sequence, Service: "llm", Addr: "10.0.0.1:80", Slots: 8, State: state}
+}
+
+func TestOnlyNewerReportsCount(t *testing.T) {
+	r := New()
+	assert.Equal(t, Changed, r.Merge(start, report("a", 10, 2, Ready)))
+	assert.Equal(t, Stale, r.Merge(start, report("a", 10, 2, Draining)), "the same report again")
+	assert.Equal(t, Stale, r.Merge(start, report("a", 10, 1, Draining)), "a late one")
+	assert.Equal(t, Renewed, r.Merge(start.Add(time.Second), report("a", 10, 3, Ready)))
+	assert.Equal(t, Changed, r.Merge(start, report("a", 10, 4, Draining)))
+	assert.Equal(t, Changed, r.Merge(start, report("a", 20, 1, Ready)), "a restart counts anew")
+	assert.Equal(t, Stale, r.Merge(start, report("a", 10, 9, Ready)), "the former process")
+	assert.Equal(t, int64(20), r.Get("a").Born)
+}
+
+func TestWhatHasLeftDoesNotReturn(t *testing.T) {
+	r := New()
+	r.Merge(start, report("a", 10, 2, Ready))
+	assert.Equal(t, Changed, r.Leave(start, "a", 10))
+	assert.Equal(t, Stale, r.Merge(start, report("a", 10, 3, Ready)), "a late heartbeat")
+	assert.Equal(t, Stale, r.Leave(start, "a", 10))
+	assert.Equal(t, Stale, r.Leave(start, "b", 10))
+	assert.Equal(t, Changed, r.Merge(start, report("a", 11, 1, Ready)))
+	assert.Equal(t, Stale, r.Leave(start, "a", 10), "the former process leaves")
+}
+
+func TestAnAddressBelongsToTheLaterBorn(t *testing.T) {
+	r := New()
+	r.Merge(start, report("old", 10, 5, Ready))
+	assert.Equal(t, Changed, r.Merge(start, report("new", 20, 1, Ready)))
+	assert.Nil(t, r.Get("old"))
+	assert.Equal(t, Stale, r.Merge(start, report("old", 10, 6, Ready)), "held up by a partition")
+	assert.Nil(t, r.Get("old"))
+	require.NotNil(t, r.Get("new"))
+}
+
+func TestColdTargets(t *testing.T) {
+	r := New()
+	cold := report("a", 10, 1, Ready)
+	cold.ColdFor = 3 * time.Second
+	r.Merge(start, cold)
+	assert.Equal(t, start.Add(3*time.Second), r.Get("a").ColdUntil)
+	assert.Equal(t, Changed, r.Merge(start, report("a", 10, 2, Ready)), "the target is warm")
+	assert.True(t, r.Get("a").ColdUntil.IsZero())
+}
+
+func TestSilentTargetsExpire(t *testing.T) {
+	r := New()
+	r.Merge(start, report("a", 10, 1, Ready))
+	assert.Empty(t, r.Expire(start))
+	expired := r.Expire(start.Add(time.Nanosecond))
+	require.Len(t, expired, 1)
+	assert.Empty(t, r.All())
+	assert.Equal(t, Changed, r.Merge(start, report("a", 10, 1, Ready)), "one that speaks again is back")
+}
+
+// Rosters that got the same reports in different orders agree on who holds
+// which address and in which state.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var reports []Report
+		for range rapid.IntRange(1, 12).Draw(t, "reports") {
+			reports = append(reports, report(
+				rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"),
+				rapid.Int64Range(1, 4).Draw(t, "born"),
+				rapid.Uint64Range(1, 5).Draw(t, "sequence"),
+				Ready))
+		}
+		for i := range reports { // two targets are not born at the same moment
+			if reports[i].ID == "b" {
+				reports[i].Born += 10
+			}
+		}
+		one, two := New(), New()
+		for _, report := range reports {
+			one.Merge(start, report)
+		}
+		for _, at := range rapid.Permutation(indexes(len(reports))).Draw(t, "order") {
+			two.Merge(start, reports[at])
+		}
+		require.Equal(t, holders(one), holders(two))
+	})
+}
+
+func indexes(n int) []int {
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+func holders(r *Roster) map[string]Report {
+	held := make(map[string]Report)
+	for addr, record := range r.byAddr {
+		held[addr] = record.Report
+	}
+	return held
+}
