Share connections to targets, socket peeks and the raft transport

Cause: the programs for the provider's machines need what agent, gateway and control kept to themselves: connections whose first sent byte is known, a look whether a caller has gone, and streams of raft messages to peers that are not in a fixed list. Change: infra/targetconn, infra/netpeek and infra/rafttransport; agent, gateway and control use them. The transport finds a peer's address when it first sends to it.

--- a/services/control/transport.go
+++ b/infra/rafttransport/transport.go
@@ -1,7 +1,13 @@
-package control
+// Package rafttransport carries the messages of replicated groups between
+// hosts: two streams per peer, each fed from a bounded queue, so that a
+// snapshot does not hold up heartbeats. What does not fit a queue is dropped;
+// the replicas repeat what matters.
+package rafttransport
 
 import (
 	"context"
+	"crypto/tls"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,55 +21,108 @@
 )
 
 const (
+	quickQueueSize  = 256     // batches per peer
 	bulkQueueSize   = 4       // batches per peer
 	bulkBytes       = 1 << 20 // from this size on a batch counts as bulk
 	partBytes       = 512 << 10
 	maxBatchBytes   = 1 << 30
 	entryExtraBytes = 32 // of an entry besides its data
+	redialPause     = 100 * time.Millisecond
 )
 
-// transport sends the replicas' messages: two streams per peer, each fed from a
-// bounded queue, so that a snapshot does not hold up heartbeats. What does not
-// fit a queue is dropped; the replicas repeat what matters. It implements
-// replica.Transport.
-type transport struct {
-	cfg     *Config
+// Resolve returns the wire address of a replica's host.
+type Resolve func(id uint64) (addr string, found bool)
+
+// Transport sends the messages of one host. It is safe for concurrent use.
+type Transport struct {
+	self    uint64
+	resolve Resolve
 	pool    *wire.Pool // apart from other calls, so that those do not delay heartbeats
-	quick   map[uint64]chan rpc.RaftBatch
-	bulk    map[uint64]chan rpc.RaftBatch
 	dropped metrics.Meter
+	added   chan *peer
+
+	mu    sync.Mutex
+	peers map[uint64]*peer
 }
 
-func newTransport(cfg *Config) *transport {
-	t := &transport{
-		cfg:     cfg,
-		pool:    wire.NewPool(cfg.ClientTLS),
-		quick:   make(map[uint64]chan rpc.RaftBatch),
-		bulk:    make(map[uint64]chan rpc.RaftBatch),
-		dropped: metrics.GetOrRegisterMeter("control.raft.dropped", cfg.Metrics),
-	}
-	for id := range cfg.Peers {
-		if id != cfg.ID {
-			t.quick[id] = make(chan rpc.RaftBatch, raftQueueSize)
-			t.bulk[id] = make(chan rpc.RaftBatch, bulkQueueSize)
-		}
+type peer struct {
+	addr  string
+	quick chan rpc.RaftBatch
+	bulk  chan rpc.RaftBatch
+}
+
+// New returns the transport of the host self. tlsConfig may be nil.
+func New(self uint64, resolve Resolve, tlsConfig *tls.Config, dropped metrics.Meter) *Transport {
+	return &Transport{
+		self:    self,
+		resolve: resolve,
+		pool:    wire.NewPool(tlsConfig),
+		dropped: dropped,
+		added:   make(chan *peer, 1),
+		peers:   make(map[uint64]*peer),
 	}
-	return t
 }
 
 // Send queues messages for a peer. It never blocks.
-func (t *transport) Send(group uint32, to uint64, messages []raft.Message) {
-	queue := t.quick[to]
+func (t *Transport) Send(group uint32, to uint64, messages []raft.Message) {
+	p := t.peer(to)
+	if p == nil {
+		t.dropped.Mark(int64(len(messages)))
+		return
+	}
+	queue := p.quick
 	if sizeOf(messages) >= bulkBytes {
-		queue = t.bulk[to]
+		queue = p.bulk
 	}
 	select {
 	case queue <- rpc.RaftBatch{Group: group, Messages: messages}:
-	default: // full, or not a peer
+	default:
 		t.dropped.Mark(int64(len(messages)))
 	}
 }
 
+// peer returns the queues of a host. It returns nil for one that is not known,
+// and while Run has not yet taken up the one before.
+func (t *Transport) peer(id uint64) *peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[id]; p != nil {
+		return p
+	}
+	addr, found := t.resolve(id)
+	if !found || id == t.self {
+		return nil
+	}
+	p := &peer{
+		addr:  addr,
+		quick: make(chan rpc.RaftBatch, quickQueueSize),
+		bulk:  make(chan rpc.RaftBatch, bulkQueueSize),
+	}
+	select {
+	case t.added <- p:
+		t.peers[id] = p
+		return p
+	default:
+		return nil
+	}
+}
+
+// Run sends what is queued until ctx ends.
+func (t *Transport) Run(ctx context.Context) error {
+	defer t.pool.Close()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case p := <-t.added:
+			wg.Go(func() { t.feed(ctx, p.addr, p.quick) })
+			wg.Go(func() { t.feed(ctx, p.addr, p.bulk) })
+		}
+	}
+}
+
 // sizeOf estimates the encoded size of messages, in bytes.
 func sizeOf(messages []raft.Message) int {
 	size := 0
@@ -78,33 +137,22 @@
 	return size
 }
 
-func (t *transport) run(ctx context.Context) error {
-	defer t.pool.Close()
-	var wg conc.WaitGroup
-	for id := range t.quick {
-		wg.Go(func() { t.feed(ctx, t.cfg.Peers[id], t.quick[id]) })
-		wg.Go(func() { t.feed(ctx, t.cfg.Peers[id], t.bulk[id]) })
-	}
-	wg.Wait()
-	return nil
-}
-
 // feed keeps a stream to one peer and dials again after a failure. Messages
 // that were due in the meantime are dropped.
-func (t *transport) feed(ctx context.Context, addr string, queue <-chan rpc.RaftBatch) {
+func (t *Transport) feed(ctx context.Context, addr string, queue <-chan rpc.RaftBatch) {
 	for ctx.Err() == nil {
 		stream, err := t.pool.Open(ctx, addr, rpc.MethodRaft)
 		if err != nil {
 			t.discard(ctx, queue)
 			continue
 		}
-		_ = t.pump(ctx, stream, queue)
+		_ = t.pump(ctx, stream, queue) // the replicas repeat what is lost
 		stream.Close()
 	}
 }
 
 // pump sends until the stream fails.
-func (t *transport) pump(ctx context.Context, stream *wire.Stream, queue <-chan rpc.RaftBatch) error {
+func (t *Transport) pump(ctx context.Context, stream *wire.Stream, queue <-chan rpc.RaftBatch) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -138,31 +186,9 @@
 	return nil
 }
 
-// receiveBatch reads the next batch, whole.
-func receiveBatch(stream *wire.Stream) (*rpc.RaftBatch, error) {
-	var parts []byte
-	for {
-		batch := new(rpc.RaftBatch)
-		if err := stream.Recv(batch); err != nil {
-			return nil, errors.Wrap(err, "raft stream")
-		}
-		if len(batch.Part) == 0 {
-			return batch, nil
-		}
-		parts = append(parts, batch.Part...)
-		if len(parts) > maxBatchBytes {
-			return nil, errors.Newf("raft batch exceeds %d bytes", maxBatchBytes)
-		}
-		if !batch.More {
-			whole := new(rpc.RaftBatch)
-			return whole, errors.Wrap(msgpack.Unmarshal(parts, whole), "decode raft batch")
-		}
-	}
-}
-
 // discard drops messages for the length of one redial pause.
-func (t *transport) discard(ctx context.Context, queue <-chan rpc.RaftBatch) {
-	pause := time.NewTimer(raftRedialPause)
+func (t *Transport) discard(ctx context.Context, queue <-chan rpc.RaftBatch) {
+	pause := time.NewTimer(redialPause)
 	defer pause.Stop()
 	for {
 		select {
@@ -176,19 +202,24 @@
 	}
 }
 
-// receiveRaft takes the messages of one peer until its stream ends.
-func (s *Server) receiveRaft(_ context.Context, stream *wire.Stream) error {
+// Receive reads the next batch of a stream, whole.
+func Receive(stream *wire.Stream) (*rpc.RaftBatch, error) {
+	var parts []byte
 	for {
-		batch, err := receiveBatch(stream)
-		if err != nil {
-			return err
+		batch := new(rpc.RaftBatch)
+		if err := stream.Recv(batch); err != nil {
+			return nil, errors.Wrap(err, "raft stream")
 		}
-		r, err := s.Group(batch.Group)
-		if err != nil {
-			continue // a peer with more groups than this host
+		if len(batch.Part) == 0 {
+			return batch, nil
+		}
+		parts = append(parts, batch.Part...)
+		if len(parts) > maxBatchBytes {
+			return nil, errors.Newf("raft batch exceeds %d bytes", maxBatchBytes)
 		}
-		for i := range batch.Messages {
-			r.Step(batch.Messages[i])
+		if !batch.More {
+			whole := new(rpc.RaftBatch)
+			return whole, errors.Wrap(msgpack.Unmarshal(parts, whole), "decode raft batch")
 		}
 	}
 }
--- a/services/agent/announcements.go
+++ b/services/agent/announcements.go
@@ -92,11 +92,11 @@
 	wasDown := t.down
 	t.down = false
 	if info.Address != old.Address || replaced {
-		t.pool.reset(info.Address, info.WarmCapacity)
+		t.pool.Reset(info.Address, info.WarmCapacity)
 	}
 	if info.Address != old.Address || info.Leaving {
 		t.unwatch()
-		t.pool.closeIdle()
+		t.pool.CloseIdle()
 	}
 	if !replaced {
 		t.crash = nil // its process lives: what was seen was not a crash
@@ -169,6 +169,6 @@
 	a.cfg.Log.Warn("target_dropped", "target", t.id, "reason", reason)
 	t.close(outcome.TargetFailed)
 	t.drop(errDropped)
-	t.pool.reset("", 0)
+	t.pool.Reset("", 0)
 	notify(a.beat)
 }
--- a/services/agent/crash.go
+++ b/services/agent/crash.go
@@ -46,7 +46,7 @@
 	t.agent.counters.crashes.Inc(1)
 	t.agent.cfg.Log.Warn("target_crashed", "target", t.id, "target_incarnation", incarnation,
 		"reason", reason, "suspects", len(report.Suspects), "alone", report.Alone)
-	t.pool.closeIdle()
+	t.pool.CloseIdle()
 	if !found {
 		close(c.reported)
 		return c
@@ -82,7 +82,7 @@
 	if lost != nil && !closedWithin(lost, settleWait) {
 		return // only this connection broke
 	}
-	if lost == nil && reachable(t.life, t.pool.address()) {
+	if lost == nil && reachable(t.life, t.pool.Address()) {
 		return // there is no sign of a crash
 	}
 	t.mu.Lock()
--- a/services/agent/exchange.go
+++ b/services/agent/exchange.go
@@ -15,6 +15,7 @@
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/outcome"
 	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/targetconn"
 )
 
 const (
@@ -32,7 +33,7 @@
 var passedHeaders = []string{"Content-Type", "Content-Encoding", "Cache-Control", "Etag", "Last-Modified", "Location", "Retry-After"}
 
 // exchange writes the request to conn, reads the answer and passes it on.
-func (x *execution) exchange(ctx context.Context, conn *targetConn, out sink) error {
+func (x *execution) exchange(ctx context.Context, conn *targetconn.Conn, out sink) error {
 	request, err := x.httpRequest()
 	if err != nil {
 		return err
@@ -48,7 +49,7 @@
 	}
 	// A target may answer and close before it has read the whole request.
 	started := time.Now()
-	response, err := readFinal(conn.reader, request)
+	response, err := readFinal(conn.Reader, request)
 	if err != nil {
 		return broken(err)
 	}
@@ -91,7 +92,7 @@
 	request := &http.Request{
 		Method:        x.open.HTTPMethod,
 		URL:           target,
-		Host:          x.target.pool.address(),
+		Host:          x.target.pool.Address(),
 		Header:        make(http.Header, len(x.open.Headers)+2),
 		ContentLength: int64(len(x.open.Body)),
 		ProtoMajor:    1,
--- a/services/agent/execution.go
+++ b/services/agent/execution.go
@@ -106,14 +106,14 @@
 	if err := x.recheckStanding(); err != nil {
 		return err
 	}
-	conn, err := x.target.pool.get(ctx)
+	conn, err := x.target.pool.Get(ctx)
 	if err != nil {
 		return x.notConnected(ctx, err)
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	err = x.exchange(ctx, conn, out)
 	if stop() && err == nil && x.reusable {
-		x.target.pool.put(conn)
+		x.target.pool.Put(conn)
 		return nil
 	}
 	conn.Close()
--- a/services/agent/loadreport.go
+++ b/services/agent/loadreport.go
@@ -42,7 +42,7 @@
 func (t *target) fetchLoad() (int, error) {
 	ctx, cancel := context.WithTimeout(t.life, loadTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.pool.address()+loadPath, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.pool.Address()+loadPath, nil)
 	if err != nil {
 		return 0, errors.Wrap(err, "load report")
 	}
--- a/services/agent/order.go
+++ b/services/agent/order.go
@@ -106,7 +106,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.pool.address()+orderPath, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.pool.Address()+orderPath, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "order")
 	}
--- a/services/agent/target.go
+++ b/services/agent/target.go
@@ -12,6 +12,7 @@
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/quarantine"
+	"banyanwalk/infra/targetconn"
 	"banyanwalk/services/agent/announce"
 )
 
@@ -27,7 +28,7 @@
 type target struct {
 	agent *Agent
 	id    fleet.TargetID
-	pool  *connPool
+	pool  *targetconn.Pool
 	life  context.Context // until the target is dropped
 	drop  context.CancelCauseFunc
 
@@ -58,7 +59,7 @@
 	t := &target{
 		agent:    a,
 		id:       id,
-		pool:     newConnPool(info.Address, info.WarmCapacity),
+		pool:     targetconn.NewPool(info.Address, info.WarmCapacity),
 		life:     life,
 		drop:     drop,
 		info:     info,
--- a/services/agent/watch.go
+++ b/services/agent/watch.go
@@ -8,11 +8,12 @@
 
 	"github.com/cockroachdb/errors"
 
+	"banyanwalk/infra/netpeek"
 	"banyanwalk/infra/pause"
+	"banyanwalk/infra/targetconn"
 )
 
 const (
-	dialTimeout    = time.Second
 	watchPause     = 50 * time.Millisecond // between attempts to connect
 	watchDownPause = 250 * time.Millisecond
 )
@@ -27,7 +28,7 @@
 			t.awaitExit()
 			continue
 		}
-		conn, err := dial(t.life, t.pool.address())
+		conn, err := targetconn.Dial(t.life, t.pool.Address())
 		if err != nil {
 			t.unreachable(err)
 			pause.For(t.life, watchDownPause)
@@ -75,7 +76,7 @@
 // watchEnded reports whether the watched process has ended, also when watch
 // has not been told yet. The caller holds the mutex; the look does not block.
 func (t *target) watchEnded() bool {
-	return t.lost != nil && !open(t.watched)
+	return t.lost != nil && !netpeek.Quiet(t.watched)
 }
 
 // watchLost holds the target to its cold capacity until it announces itself.
@@ -91,7 +92,7 @@
 	t.mu.Unlock()
 	close(lost)
 	t.agent.cfg.Log.Debug("target_connection_lost", "target", t.id)
-	t.pool.closeIdle()
+	t.pool.CloseIdle()
 }
 
 // awaitExit drops a leaving target once it has closed its port and answered
@@ -99,7 +100,7 @@
 // shutdown. A target that stays after all is watched again.
 func (t *target) awaitExit() {
 	for t.life.Err() == nil && t.announced().Leaving {
-		if t.runningRequests() == 0 && !reachable(t.life, t.pool.address()) {
+		if t.runningRequests() == 0 && !reachable(t.life, t.pool.Address()) {
 			t.agent.dropTarget(t, "left")
 			return
 		}
@@ -122,15 +123,10 @@
 }
 
 func reachable(ctx context.Context, address string) bool {
-	conn, err := dial(ctx, address)
+	conn, err := targetconn.Dial(ctx, address)
 	if err != nil {
 		return false
 	}
 	conn.Close()
 	return true
 }
-
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return dialer.DialContext(ctx, "tcp", address)
-}
--- a/services/control/config.go
+++ b/services/control/config.go
@@ -36,8 +36,6 @@
 	adminDrainTimeout   = 2 * time.Second
 	maxAgentTargets     = 64
 	maxCrashRequests    = 2048 // an agent reports those in flight and some that just ended
-	raftQueueSize       = 256  // batches per peer
-	raftRedialPause     = 100 * time.Millisecond
 	maxRequestIDBytes   = 128
 	fingerprintHexChars = 12 // of a token digest, to name an operator in logs
 )
@@ -82,6 +80,11 @@
 
 func (c *Config) peerIDs() []uint64 { return slices.Sorted(maps.Keys(c.Peers)) }
 
+func (c *Config) peerAddress(id uint64) (string, bool) {
+	addr, found := c.Peers[id]
+	return addr, found
+}
+
 func (c *Config) groupDir(group uint32) string {
 	return filepath.Join(c.DataDir, "group-"+strconv.FormatUint(uint64(group), 10))
 }
--- a/services/control/server.go
+++ b/services/control/server.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"banyanwalk/core/outcome"
+	"banyanwalk/infra/rafttransport"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
 	"banyanwalk/infra/wire"
@@ -23,7 +24,7 @@
 	log       *telemetry.Log
 	wire      *wire.Server
 	pool      *wire.Pool // calls to peers and agents
-	transport *transport
+	transport *rafttransport.Transport
 	state     *configState
 	groups    map[uint32]*replica.Replica
 	leaders   map[uint32]*atomic.Pointer[leadership]
@@ -59,7 +60,8 @@
 		pushes:      metrics.GetOrRegisterMeter("control.pushes", cfg.Metrics),
 		forwards:    metrics.GetOrRegisterMeter("control.forwards", cfg.Metrics),
 	}
-	s.transport = newTransport(&s.cfg)
+	s.transport = rafttransport.New(cfg.ID, s.cfg.peerAddress, cfg.ClientTLS,
+		metrics.GetOrRegisterMeter("control.raft.dropped", cfg.Metrics))
 	s.state = newConfigState(cfg.Log)
 	s.members = newMembership(s)
 	if err := s.AddGroup(ConfigGroup, s.state, nil); err != nil {
@@ -147,7 +149,7 @@
 	carrying, endCarrying := context.WithCancel(context.WithoutCancel(ctx))
 	defer endCarrying()
 	p := pool.New().WithContext(carrying).WithCancelOnError().WithFirstError()
-	p.Go(s.transport.run)
+	p.Go(s.transport.Run)
 	p.Go(func(ctx context.Context) error { return s.wire.Serve(ctx, l) })
 	p.Go(func(carrying context.Context) error {
 		defer endCarrying()
@@ -180,6 +182,23 @@
 	return p.Wait()
 }
 
+// receiveRaft takes the messages of one peer until its stream ends.
+func (s *Server) receiveRaft(_ context.Context, stream *wire.Stream) error {
+	for {
+		batch, err := rafttransport.Receive(stream)
+		if err != nil {
+			return err
+		}
+		r, err := s.Group(batch.Group)
+		if err != nil {
+			continue // a peer with more groups than this host
+		}
+		for i := range batch.Messages {
+			r.Step(batch.Messages[i])
+		}
+	}
+}
+
 // replicaLog adapts the log to package replica.
 type replicaLog struct{ log *telemetry.Log }
 
--- a/services/gateway/gone.go
+++ b/services/gateway/gone.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"banyanwalk/core/outcome"
+	"banyanwalk/infra/netpeek"
 )
 
 const goneCheckInterval = 500 * time.Millisecond
@@ -25,7 +25,7 @@
 	if !r.idempotent || r.idempotencyKey != "" {
 		return func() {}
 	}
-	raw := rawConn(conn)
+	raw := netpeek.Raw(conn)
 	if raw == nil {
 		return func() {}
 	}
@@ -39,7 +39,7 @@
 			return
 		default:
 		}
-		if closedByPeer(raw) {
+		if netpeek.Closed(raw) {
 			cancel(errCallerGone)
 			return
 		}
@@ -52,38 +52,6 @@
 	}
 }
 
-// rawConn returns the socket below a connection, or nil.
-func rawConn(conn net.Conn) syscall.RawConn {
-	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
-		conn = wrapped.NetConn()
-	}
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return nil
-	}
-	return raw
-}
-
-// closedByPeer looks at the socket without reading from it.
-func closedByPeer(raw syscall.RawConn) bool {
-	closed := false
-	err := raw.Control(func(fd uintptr) {
-		var peek [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == nil:
-			closed = n == 0
-		case errors.Is(err, syscall.ECONNRESET):
-			closed = true
-		}
-	})
-	return err == nil && closed
-}
-
 // ended returns why a request's context is over.
 func ended(ctx context.Context, o outcome.Outcome) *outcome.Error {
 	if errors.Is(context.Cause(ctx), errCallerGone) {
