Raft: open membership, for hosts that nobody lists

Cause: on the provider's machines a lost host is replaced by an empty one at another address, hosts are added and retired, and a process learns only of a few seeds; the group took in none but its configured peers. Change: with Config.Voters any host that asks becomes a learner, the wanted number of voters is kept, a voter that is silent for ReplaceAfter or retired yields to a learner that has caught up, and one that was replaced asks to join again. Joining hosts never form a group. Ruled out: adding every newcomer as a voter, which makes quorums grow with each spare host. Found while testing: a fresh learner counted as silent since the leader's election; it now counts from when the leader began to send to it.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -183,7 +183,7 @@
 	for _, id := range members {
 		p := r.progress[id]
 		if p == nil {
-			p = &progress{next: r.log.lastIndex() + 1, advanced: r.now}
+			p = &progress{next: r.log.lastIndex() + 1, advanced: r.now, followed: r.now}
 		}
 		known[id] = p
 	}
--- a/core/raft/progress.go
+++ b/core/raft/progress.go
@@ -23,6 +23,7 @@
 	complete   uint64 // index up to which the member holds all that entries name
 	caughtUp   uint64 // commit index when match first reached it; zero: not yet
 	heard      time.Time
+	followed   time.Time // since when this leader sends to the member
 	advanced   time.Time // last time that match grew or sending started anew
 }
 
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -50,6 +50,13 @@
 	Now               time.Time
 	HoldVote          bool // as a learner, take no vote before SetComplete
 
+	// Voters, if not 0, opens the membership: any host that asks becomes a
+	// learner, and so many hosts are kept as voters. A voter that has been
+	// silent for ReplaceAfter yields its vote to a learner of another host.
+	Voters       int
+	ReplaceAfter time.Duration
+	Joining      bool // never form a group, only join one
+
 	HardState HardState
 	Snapshot  Snapshot // Data is kept for members that lag behind the log
 	Entries   []Entry  // after Snapshot
@@ -79,7 +86,8 @@
 	vote ReplicaID
 	log  *raftLog
 
-	complete uint64 // index up to which all data outside the log is here
+	complete uint64   // index up to which all data outside the log is here
+	retired  []uint64 // hosts that are to have no vote
 
 	leader       ReplicaID
 	heard        time.Time // last contact with a leader, or the restart
@@ -144,7 +152,7 @@
 		return
 	}
 	isVoter := r.log.membership().IsVoter(r.id)
-	if !isVoter || r.log.committed == 0 {
+	if !isVoter || r.log.committed == 0 || r.maybeReplaced() {
 		r.tickOutsider()
 	}
 	if isVoter && r.now.Sub(r.timerStart) >= r.timerTimeout {
--- a/core/raft/repair.go
+++ b/core/raft/repair.go
@@ -18,7 +18,7 @@
 		return
 	}
 	r.probed = r.now
-	for _, id := range r.cfg.Peers {
+	for _, id := range r.probedHosts() {
 		if id != r.id.ID {
 			r.send(Message{Type: MsgProbe, To: ReplicaID{ID: id}})
 		}
@@ -52,7 +52,7 @@
 // all terms of the peers, so that it differs from the first entry of an earlier
 // attempt that was lost together with its disk.
 func (r *Raft) maybeForm() {
-	if r.id.ID != slices.Min(r.cfg.Peers) {
+	if r.cfg.Joining || r.id.ID != slices.Min(r.cfg.Peers) {
 		return
 	}
 	term := r.term
@@ -90,7 +90,7 @@
 	voter, isVoter := membership.voter(id.ID)
 	learner, isLearner := membership.learner(id.ID)
 	switch {
-	case !isVoter && !isLearner && !slices.Contains(r.cfg.Peers, id.ID):
+	case !isVoter && !isLearner && !r.isOpen() && !slices.Contains(r.cfg.Peers, id.ID):
 		return
 	case isVoter && r.isActive(voter):
 		return
@@ -138,9 +138,18 @@
 		r.becomeFollower(r.term, ReplicaID{})
 		return
 	}
+	if yielding := r.silentLearner(membership); yielding != 0 {
+		r.changeMembership(membership.withoutLearner(yielding))
+		return
+	}
 	for _, id := range membership.Learners {
 		voter, isVoter := membership.voter(id.ID)
 		switch {
+		case r.mayVote(id) && !isVoter && r.isOpen():
+			if next, wanted := r.withWantedVoter(membership, id); wanted {
+				r.changeMembership(next)
+				return
+			}
 		case r.mayVote(id):
 			r.changeMembership(membership.withPromoted(id))
 			return
