--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -109,10 +109,10 @@
 	Workspace string `msgpack:"w"`
 }
 
-// Result of a command.
+// Answer is the result of a command.
 type Answer struct {
-	Error *outcome.Error // the command was refused
-	New   *Job           // by Submit, when the job was not known
+	Error *outcome.Error `msgpack:"e"` // the command was refused
+	New   *Job           `msgpack:"-"` // by Submit, when the job was not known
 }
 
 // Machine applies commands in the order of the log. It is not safe for
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -86,7 +86,7 @@
 	if known != nil && !supersedes(&report, known) {
 		return Stale
 	}
-	if holder := r.byAddr[report.Addr]; holder != nil && holder.ID != report.ID {
+	if holder := r.byAddr[report.Addr]; holder != nil && holder.ID != report.ID && report.Addr != "" {
 		if holder.State != Gone && holder.Born > report.Born {
 			return Stale
 		}
@@ -132,18 +132,27 @@
 	return Changed
 }
 
-// Leave notes that a process of a target has left. An unknown id has nothing
-// to leave.
+// Leave notes that a process of a target has left. Born is 0 when the target
+// did not say which process that was: it is then the one that is known. An
+// unknown id is kept as one that has gone, since others may know more of it.
 func (r *Roster) Leave(heard time.Time, id string, born int64) Verdict {
 	known := r.byID[id]
-	if known == nil || known.State == Gone || born != 0 && born < known.Born {
+	if known == nil || born > known.Born {
+		if born == 0 {
+			return Stale
+		}
+		return r.Merge(heard, Report{ID: id, Born: born, State: Gone})
+	}
+	if known.State == Gone || born != 0 && born < known.Born {
 		return Stale
 	}
 	next := *known
 	next.State = Gone
 	next.Heard = heard
 	r.byID[id] = &next
-	r.byAddr[next.Addr] = &next
+	if r.byAddr[next.Addr] == known {
+		r.byAddr[next.Addr] = &next
+	}
 	return Changed
 }
 
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -33,7 +33,9 @@
 	assert.Equal(t, Changed, r.Leave(start, "a", 10))
 	assert.Equal(t, Stale, r.Merge(start, report("a", 10, 3, Ready)), "a late heartbeat")
 	assert.Equal(t, Stale, r.Leave(start, "a", 10))
-	assert.Equal(t, Stale, r.Leave(start, "b", 10))
+	assert.Equal(t, Stale, r.Leave(start, "b", 0), "nothing is known of it, nor which process it was")
+	assert.Equal(t, Changed, r.Leave(start, "b", 10), "others may know it")
+	assert.Equal(t, Stale, r.Merge(start, report("b", 10, 4, Ready)))
 	assert.Equal(t, Changed, r.Merge(start, report("a", 11, 1, Ready)))
 	assert.Equal(t, Stale, r.Leave(start, "a", 10), "the former process leaves")
 }
--- /dev/null
+++ b/infra/rpc/site.go
@@ -0,0 +1,119 @@
+package rpc
+
+import (
+	"banyanwalk/core/catalog"
+	"banyanwalk/core/jobs"
+	"banyanwalk/core/placement"
+	"banyanwalk/core/roster"
+	"banyanwalk/infra/wire"
+)
+
+// Methods of a site: hosts that find each other from seeds and targets that
+// report themselves.
+const (
+	MethodFollow  wire.Method = 100 // stream: FollowPing -> FollowPush
+	MethodPropose wire.Method = 101 // unary: Proposal -> ProposalResult, on the leader of a group
+
+	MethodJobSubmit wire.Method = 110 // unary: jobs.Spec -> Ack
+	MethodJobRead   wire.Method = 111 // unary: JobRead -> JobResults
+	MethodJobBody   wire.Method = 112 // unary: JobBody -> JobBodyData
+	MethodJobEnd    wire.Method = 113 // unary: jobs.EndJob -> Ack
+)
+
+// The roles of processes of a site.
+const (
+	RoleGateway = "gateway"
+	RoleControl = "control"
+	RoleStore   = "store"
+)
+
+// Member describes one process of a site to the others.
+type Member struct {
+	Name       string        `msgpack:"n"`
+	Role       string        `msgpack:"r"`
+	Process    uint64        `msgpack:"p"` // random number of one life of the process
+	DataCentre string        `msgpack:"d"`
+	Store      *StorageState `msgpack:"s,omitempty"` // with RoleStore
+}
+
+// StorageState is the state of a storage host.
+type StorageState struct {
+	ID       uint64   `msgpack:"i"` // replica id, which holds the wire address
+	Founder  bool     `msgpack:"b"` // it may take part in founding the job group
+	Leads    bool     `msgpack:"l"`
+	Term     uint64   `msgpack:"t"`
+	Voters   []uint64 `msgpack:"v,omitempty"` // as this host knows them
+	Learners []uint64 `msgpack:"e,omitempty"`
+}
+
+// MemberLoad is a member with what it does. Sequence rises with each report.
+type MemberLoad struct {
+	Member   Member                    `msgpack:"m"`
+	Sequence uint64                    `msgpack:"q"`
+	Spent    map[string]uint64         `msgpack:"s,omitempty"` // tokens of each workspace since the start of the process
+	Loads    map[string]placement.Load `msgpack:"l,omitempty"` // requests at each target
+}
+
+// FollowPing tells control about its subscriber.
+type FollowPing struct {
+	Load MemberLoad `msgpack:"l"`
+}
+
+// TargetReport is a target's report and how long ago it arrived.
+type TargetReport struct {
+	Report roster.Report `msgpack:"r"`
+	AgeMS  int64         `msgpack:"a"` // milliseconds
+}
+
+// FollowPush carries what has changed since the push before. The first one
+// carries everything.
+type FollowPush struct {
+	Catalog  *catalog.State `msgpack:"c,omitempty"`
+	Targets  []TargetReport `msgpack:"t,omitempty"`
+	Members  []MemberLoad   `msgpack:"m,omitempty"`
+	Controls []string       `msgpack:"o,omitempty"` // wire addresses of the control hosts
+}
+
+// Proposal is a command for the leader of a group.
+type Proposal struct {
+	Group   uint32 `msgpack:"g"`
+	Command []byte `msgpack:"c"`
+}
+
+// ProposalResult carries the encoded result of a command.
+type ProposalResult struct {
+	Result []byte `msgpack:"r"`
+}
+
+// JobRead asks for the results of a job from a position on.
+type JobRead struct {
+	Workspace string `msgpack:"w"`
+	Job       string `msgpack:"j"`
+	After     int    `msgpack:"a"`
+	WaitMS    int64  `msgpack:"t"` // for a result at that position, milliseconds
+}
+
+// JobResult is one listed result.
+type JobResult struct {
+	Item  string     `msgpack:"i"` // id of the item
+	State jobs.State `msgpack:"s"`
+	Text  string     `msgpack:"t"`
+}
+
+// JobResults answers JobRead.
+type JobResults struct {
+	Total   int         `msgpack:"n"` // items of the job
+	Results []JobResult `msgpack:"r"`
+}
+
+// JobBody asks for the body of an item that is not listed yet.
+type JobBody struct {
+	Workspace string `msgpack:"w"`
+	Job       string `msgpack:"j"`
+	Item      string `msgpack:"i"`
+}
+
+// JobBodyData answers JobBody.
+type JobBodyData struct {
+	Body []byte `msgpack:"b"`
+}
--- a/infra/targetconn/pool.go
+++ b/infra/targetconn/pool.go
@@ -19,6 +19,9 @@
 	dialTimeout     = 1 * time.Second
 )
 
+// keepAlive finds connections that have gone silent within three seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 // Conn is one connection to a target.
 type Conn struct {
 	net.Conn
@@ -130,6 +133,6 @@
 
 // Dial connects to a target.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 	return dialer.DialContext(ctx, "tcp", address)
 }
--- a/infra/wire/conn.go
+++ b/infra/wire/conn.go
@@ -25,10 +25,10 @@
 	helloBytes             = 6
 	dialTimeout            = 1 * time.Second
 	helloTimeout           = 2 * time.Second
-	keepAlive              = 2 * time.Second
-	writeTimeout           = 4 * time.Second
-	streamWindow           = 1 << 20 // bytes per stream in flight
-	acceptBacklog          = 1024    // streams waiting to be accepted
+	keepAlive              = 1 * time.Second
+	writeTimeout           = 2 * time.Second // also for the answer to a keep-alive: a silent connection ends after 3 s
+	streamWindow           = 1 << 20         // bytes per stream in flight
+	acceptBacklog          = 1024            // streams waiting to be accepted
 )
 
 // Conn is one connection to a peer process. It is safe for concurrent use.
--- a/services/control/replica/api.go
+++ b/services/control/replica/api.go
@@ -53,6 +53,11 @@
 	// name outside the log. While it does not, a learner gets no vote. Nil
 	// means that there is no such data.
 	Complete func() bool
+
+	// Voters, ReplaceAfter and Joining open the membership: see raft.Config.
+	Voters       int
+	ReplaceAfter time.Duration
+	Joining      bool
 }
 
 // Status is the state of a replica at one moment.
--- a/services/control/replica/loop.go
+++ b/services/control/replica/loop.go
@@ -120,6 +120,9 @@
 func (r *Replica) tick() {
 	now := time.Now()
 	r.reportComplete()
+	if retired := r.retired.Load(); retired != nil {
+		r.core.SetRetired(*retired)
+	}
 	r.core.Tick(now)
 	r.repeatReads(now)
 }
--- a/services/control/replica/replica.go
+++ b/services/control/replica/replica.go
@@ -34,6 +34,7 @@
 	stopped   chan struct{}
 	status    atomic.Pointer[Status]
 	applied   atomic.Uint64
+	retired   atomic.Pointer[[]uint64]
 }
 
 // Open recovers the replica from its folder, or creates the folder. It fails
@@ -62,6 +63,9 @@
 		Rand:              rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Now:               time.Now(),
 		HoldVote:          cfg.Complete != nil,
+		Voters:            cfg.Voters,
+		ReplaceAfter:      cfg.ReplaceAfter,
+		Joining:           cfg.Joining,
 		HardState:         found.HardState,
 		Snapshot:          found.Snapshot,
 		Entries:           found.Entries,
@@ -132,6 +136,9 @@
 // size of the inbox are dropped, as a network would.
 func (r *Replica) Step(m raft.Message) { r.inbox.add(m) }
 
+// SetRetired names the hosts that are to have no vote: see raft.Raft.
+func (r *Replica) SetRetired(hosts []uint64) { r.retired.Store(&hosts) }
+
 // Propose replicates a command and waits until it is applied here. The result
 // is that of StateMachine.Apply. Its errors are *outcome.Error:
 //
--- /dev/null
+++ b/services/director/director.go
@@ -0,0 +1,219 @@
+// Package director runs a control host of a site: it replicates the catalog,
+// takes the reports of targets and members, and pushes both to those who
+// follow. Operators and targets reach it through an adapter that speaks their
+// formats.
+package director
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc/pool"
+
+	"banyanwalk/core/catalog"
+	"banyanwalk/core/outcome"
+	"banyanwalk/core/roster"
+	"banyanwalk/core/routing"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
+	"banyanwalk/services/replicated"
+)
+
+const (
+	catalogGroup  uint32 = 0
+	snapshotEvery        = 64 // entries; each may hold a whole document
+	// orderTimeout is how long an operator's order may take. Operators turn to
+	// another host after a second.
+	orderTimeout = 900 * time.Millisecond
+	pruneEvery   = 1 * time.Second
+)
+
+// Config describes one control host.
+type Config struct {
+	Name       string
+	DataCentre string
+	Addr       string   // wire address of this host, ip:port
+	Founders   []string // wire addresses of the hosts that found the catalog's group, or that know it
+	Joining    bool     // the group exists already
+	Voters     int      // control hosts and storage hosts that are to have a vote in their groups
+	DataDir    string
+	ServerTLS  *tls.Config
+	ClientTLS  *tls.Config
+	Log        *telemetry.Log
+	Metrics    metrics.Registry
+}
+
+// Server is one control host. It is safe for concurrent use.
+type Server struct {
+	cfg     Config
+	log     *telemetry.Log
+	wire    *wire.Server
+	state   *catalogState
+	group   *replicated.Group[catalog.Result]
+	board   *board
+	reports map[roster.Verdict]metrics.Counter
+	founder founder
+}
+
+// New opens the catalog's replica of this host.
+func New(cfg Config) (*Server, error) {
+	s := &Server{
+		cfg:   cfg,
+		log:   cfg.Log,
+		wire:  wire.NewServer(cfg.Log, cfg.ServerTLS),
+		board: newBoard(),
+		reports: map[roster.Verdict]metrics.Counter{
+			roster.Stale:   metrics.GetOrRegisterCounter("director.reports.stale", cfg.Metrics),
+			roster.Renewed: metrics.GetOrRegisterCounter("director.reports.renewed", cfg.Metrics),
+			roster.Changed: metrics.GetOrRegisterCounter("director.reports.changed", cfg.Metrics),
+		},
+	}
+	s.state = newCatalogState(s.board.signal)
+	var peers []uint64
+	for _, addr := range cfg.Founders {
+		id, err := replicated.ID(addr)
+		if err != nil {
+			return nil, errors.Wrap(err, "founders")
+		}
+		peers = append(peers, id)
+	}
+	var err error
+	s.group, err = replicated.Open[catalog.Result](replicated.Config{
+		Group:         catalogGroup,
+		Addr:          cfg.Addr,
+		Peers:         peers,
+		Joining:       cfg.Joining,
+		Voters:        cfg.Voters,
+		Dir:           cfg.DataDir,
+		SnapshotEvery: snapshotEvery,
+		ClientTLS:     cfg.ClientTLS,
+		Log:           cfg.Log,
+		Metrics:       cfg.Metrics,
+	}, s.state)
+	if err != nil {
+		return nil, err
+	}
+	s.group.Register(s.wire)
+	s.wire.Handle(rpc.MethodFollow, s.follow)
+	return s, nil
+}
+
+// Run serves other processes on l until ctx ends.
+func (s *Server) Run(ctx context.Context, l net.Listener) error {
+	carrying, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	p := pool.New().WithErrors().WithFirstError()
+	p.Go(func() error { return s.wire.Serve(carrying, l) })
+	p.Go(func() error {
+		defer stop()
+		return s.group.Run(ctx)
+	})
+	p.Go(func() error { return s.housekeep(ctx) })
+	return p.Wait()
+}
+
+// housekeep forgets the silent, and does what only the leader does.
+func (s *Server) housekeep(ctx context.Context) error {
+	ticker := time.NewTicker(foundEvery)
+	defer ticker.Stop()
+	pruned := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			if now.Sub(pruned) >= pruneEvery {
+				pruned = now
+				for _, record := range s.board.prune(now) {
+					s.log.Info("target_forgotten", "target", record.ID, "state", record.State.String(), "silent_ms", now.Sub(record.Heard).Milliseconds())
+				}
+			}
+			if s.group.Replica().Status().IsLeader {
+				s.foundStorage(ctx, now)
+				s.endRetirements(ctx, now)
+			}
+		}
+	}
+}
+
+// PutDocument checks a document and puts it in force if its version is the
+// highest. body is its canonical encoding, which Document returns.
+func (s *Server) PutDocument(ctx context.Context, d *routing.Document, body []byte) error {
+	if err := d.Check(); err != nil {
+		s.log.Warn("document_refused", "version", d.Version, "error", err)
+		return outcome.New(outcome.BundleInvalid, outcome.NotRun, "%v", err)
+	}
+	err := s.execute(ctx, catalog.Command{Put: &catalog.PutDocument{Version: d.Version, Body: body}})
+	s.log.Info("document_put", "version", d.Version, "in_force", s.state.state().Version, "bytes", len(body), "error", err)
+	return err
+}
+
+// SetCentre takes a data centre out of service or back.
+func (s *Server) SetCentre(ctx context.Context, name string, out bool) error {
+	err := s.execute(ctx, catalog.Command{Centre: &catalog.SetCentre{DataCentre: name, Out: out}})
+	s.log.Info("data_centre_set", "data_centre_named", name, "out", out, "error", err)
+	return err
+}
+
+func (s *Server) execute(ctx context.Context, c catalog.Command) error {
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	result, err := s.group.Execute(bounded, c)
+	if err != nil {
+		return err
+	}
+	if result.Error != nil {
+		return result.Error
+	}
+	return nil
+}
+
+// Document returns the version in force and the body that it was put with. It
+// fails when this host cannot be sure that there is no newer one.
+func (s *Server) Document(ctx context.Context) (version uint64, body []byte, err error) {
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if err := s.group.Confirm(bounded); err != nil {
+		return 0, nil, err
+	}
+	state := s.state.state()
+	return state.Version, state.Body, nil
+}
+
+// Report takes the report of a target about itself. Followers are told before
+// it returns, or soon after when nothing has changed.
+func (s *Server) Report(report roster.Report) {
+	verdict := s.board.report(time.Now(), report)
+	s.noteReport(report.ID, report.Born, report.Sequence, report.State, verdict)
+}
+
+// Leave takes a target's word that it has left. born is 0 when it did not say
+// which of its processes that was.
+func (s *Server) Leave(id string, born int64) {
+	verdict := s.board.leave(time.Now(), id, born)
+	s.noteReport(id, born, 0, roster.Gone, verdict)
+}
+
+func (s *Server) noteReport(id string, born int64, sequence uint64, state roster.State, verdict roster.Verdict) {
+	s.reports[verdict].Inc(1)
+	switch verdict {
+	case roster.Changed:
+		s.log.Info("target_changed", "target", id, "born", born, "sequence", sequence, "state", state.String())
+	case roster.Stale:
+		s.log.Info("target_report_stale", "target", id, "born", born, "sequence", sequence, "state", state.String())
+	case roster.Renewed:
+	}
+}
+
+// Ready returns the reason why this host takes no orders, or nil.
+func (s *Server) Ready() error {
+	if s.group.Replica().Status().Leader == 0 {
+		return errors.New("no leader is known")
+	}
+	return nil
+}
--- /dev/null
+++ b/services/entry/handle.go
@@ -0,0 +1,211 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"banyanwalk/core/outcome"
+	"banyanwalk/core/quota"
+	"banyanwalk/core/routing"
+	"banyanwalk/services/targetcall"
+)
+
+const (
+	// unknownRetry is when a caller may come back to a gateway that knows no
+	// document yet.
+	unknownRetry = 500 * time.Millisecond
+	// statusRetryAfter is the shortest pause that a refusal names.
+	minRetryAfter = 10 * time.Millisecond
+)
+
+// call is one request of a caller with what the gateway has found out of it.
+type call struct {
+	id        string
+	started   time.Time
+	deadline  time.Time // the earlier of the caller's and the route's
+	route     *routing.Route
+	workspace *routing.Workspace // nil on public routes
+	table     *routing.Table
+}
+
+func (c *call) workspaceName() string {
+	if c.workspace == nil {
+		return ""
+	}
+	return c.workspace.Name
+}
+
+// handle serves one request.
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	c, err := s.admit(ctx)
+	if err != nil {
+		s.refuse(ctx, c, outcome.From(err))
+		return
+	}
+	if c.route.Kind == routing.Batch {
+		s.serveJob(ctx, c)
+		return
+	}
+	if wait, ok := s.spend(c); !ok {
+		s.refuse(ctx, c, outcome.New(outcome.RateLimited, outcome.NotRun, "over the rate of the workspace").After(wait))
+		return
+	}
+	s.forward(ctx, c)
+}
+
+// admit finds the route and the workspace of a request. The call is returned
+// with an error too, for the log.
+func (s *Server) admit(ctx *fasthttp.RequestCtx) (*call, error) {
+	now := time.Now()
+	c := &call{
+		id:      string(ctx.Request.Header.Peek(s.cfg.Dialect.RequestID)),
+		started: now,
+		table:   s.follower.Table(),
+	}
+	if c.table == nil {
+		return c, outcome.New(outcome.StateStale, outcome.NotRun, "no document is known yet").After(unknownRetry)
+	}
+	if ambiguousLength(&ctx.Request.Header) {
+		ctx.SetConnectionClose()
+		return c, outcome.New(outcome.BadRequest, outcome.NotRun, "both a length and a transfer encoding")
+	}
+	if job, found := s.cfg.Jobs.Parse(ctx); found {
+		return c, s.admitJobCall(ctx, c, job)
+	}
+	c.route = c.table.Route(string(ctx.Host()), rawPath(ctx))
+	if c.route == nil {
+		return c, outcome.New(outcome.UnknownRoute, outcome.NotRun, "no route for this host and path")
+	}
+	if err := s.authenticate(ctx, c); err != nil {
+		return c, err
+	}
+	c.deadline = s.deadline(ctx, c)
+	return c, nil
+}
+
+// ambiguousLength reports whether a request could be read in two ways.
+func ambiguousLength(h *fasthttp.RequestHeader) bool {
+	return len(h.Peek(fasthttp.HeaderTransferEncoding)) > 0 && len(h.Peek(fasthttp.HeaderContentLength)) > 0
+}
+
+// rawPath returns the path as the caller sent it, without the query.
+func rawPath(ctx *fasthttp.RequestCtx) string {
+	uri := ctx.Request.Header.RequestURI()
+	for i, b := range uri {
+		if b == '?' {
+			return string(uri[:i])
+		}
+	}
+	return string(uri)
+}
+
+func (s *Server) authenticate(ctx *fasthttp.RequestCtx, c *call) error {
+	if c.route.Public || !c.table.Keyed() {
+		return nil
+	}
+	key := string(ctx.Request.Header.Peek(s.cfg.Dialect.Key))
+	if key == "" {
+		return outcome.New(outcome.KeyMissing, outcome.NotRun, "no key")
+	}
+	c.workspace = c.table.Holder(key)
+	if c.workspace == nil {
+		return outcome.New(outcome.KeyUnknown, outcome.NotRun, "the key belongs to no workspace")
+	}
+	return nil
+}
+
+// deadline is when the caller gives up, or the route's timeout if that is
+// sooner.
+func (s *Server) deadline(ctx *fasthttp.RequestCtx, c *call) time.Time {
+	limit := c.route.Timeout
+	if value := ctx.Request.Header.Peek(s.cfg.Dialect.Deadline); len(value) > 0 {
+		left, err := strconv.ParseInt(string(value), 10, 64)
+		if err == nil && left > 0 {
+			limit = min(limit, time.Duration(left)*time.Millisecond)
+		}
+	}
+	return c.started.Add(limit)
+}
+
+// spend takes a token of the workspace.
+func (s *Server) spend(c *call) (wait time.Duration, ok bool) {
+	if c.workspace == nil {
+		return 0, true
+	}
+	rate := quota.Rate{PerSecond: c.workspace.RatePerSecond, Burst: c.workspace.Burst}
+	return s.follower.Buckets.Take(c.started, c.workspace.Name, rate)
+}
+
+// refuse answers with a failure.
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, c *call, failure *outcome.Error) {
+	status := statusOf(failure)
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(failure.Error() + "\n")
+	if failure.RetryAfter > 0 {
+		after := max(minRetryAfter, failure.RetryAfter)
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	}
+	s.meters.refused(failure.Code)
+	route, version := "", uint64(0)
+	if c.route != nil {
+		route = c.route.Name
+	}
+	if c.table != nil {
+		version = c.table.Version()
+	}
+	s.log.Info("request_refused", "request", c.id, "route", route, "workspace", c.workspaceName(), "document", version,
+		"code", failure.Code.Name(), "outcome", failure.Outcome.String(), "status", status,
+		"retry_after_ms", ms(failure.RetryAfter), "after_ms", ms(time.Since(c.started)), "reason", failure.Message)
+}
+
+// statusOf returns the status that tells the truth about the execution:
+// "unavailable" and "too many" promise that the request never runs.
+func statusOf(failure *outcome.Error) int {
+	status := failure.Code.HTTPStatus()
+	promise := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
+		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
+	switch {
+	case failure.Outcome != outcome.NotRun && promise:
+		return http.StatusBadGateway
+	case failure.Outcome == outcome.NotRun && status >= http.StatusInternalServerError:
+		return http.StatusServiceUnavailable
+	default:
+		return status
+	}
+}
+
+// request returns what goes to a target.
+func (s *Server) request(ctx *fasthttp.RequestCtx, c *call) *targetcall.Request {
+	header := make(http.Header)
+	connection := string(ctx.Request.Header.Peek(fasthttp.HeaderConnection))
+	for name, value := range ctx.Request.Header.All() {
+		if key := string(name); !targetcall.IsHop(key, connection) && !s.cfg.Dialect.IsOwn(key) {
+			header[key] = append(header[key], string(value))
+		}
+	}
+	r := &targetcall.Request{
+		Method:    string(ctx.Method()),
+		URI:       string(ctx.Request.Header.RequestURI()),
+		Host:      string(ctx.Host()),
+		Header:    header,
+		Body:      append([]byte(nil), ctx.Request.Body()...),
+		ID:        c.id,
+		Workspace: c.workspaceName(),
+		Deadline:  c.deadline,
+	}
+	if last := ctx.Request.Header.Peek(s.cfg.Dialect.LastEventID); len(last) > 0 {
+		if id, err := strconv.ParseInt(string(last), 10, 64); err == nil {
+			r.LastEventID = id
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/services/jobhost/run.go
@@ -0,0 +1,142 @@
+package jobhost
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"banyanwalk/core/jobs"
+	"banyanwalk/core/outcome"
+	"banyanwalk/core/roster"
+	"banyanwalk/services/targetcall"
+)
+
+// Why a run was ended from outside.
+var (
+	errClosed     = errors.New("the item is not open any more")
+	errYielded    = errors.New("an online request needs the slot")
+	errNotLeading = errors.New("this host does not lead any more")
+)
+
+// maxErrorBytes of a failed answer are read.
+const maxErrorBytes = 64 << 10
+
+// run is one item at one target.
+type run struct {
+	runner      *runner
+	ref         jobs.ItemRef
+	target      *roster.Record
+	request     *targetcall.Request
+	progress    *progress
+	began       time.Time
+	cancel      context.CancelCauseFunc
+	maxAttempts int
+	failures    int // that the log holds
+}
+
+// execute runs the item and decides what becomes of it.
+func (u *run) execute(ctx context.Context) {
+	defer u.cancel(nil)
+	r := u.runner
+	from := u.progress.last
+	u.request.LastEventID = from
+	if from > 0 {
+		r.resumed.Inc(1)
+	}
+	status, err := u.exchange(ctx)
+	cause := context.Cause(ctx)
+	r.log.Info("item_ran", "job", u.ref.Job, "item", u.ref.Item, "request", u.request.ID, "target", u.target.ID,
+		"from_event", from, "to_event", u.progress.last, "status", status, "took_ms", time.Since(u.began).Milliseconds(),
+		"error", err, "cause", cause)
+	switch {
+	case err == nil:
+		r.follower.Targets.Succeeded(u.target.ID)
+		r.results.add(jobs.Finished{ItemRef: u.ref, State: jobs.Completed, Text: string(u.progress.text)})
+		r.ended(u, false)
+	case cause != nil:
+		r.ended(u, !errors.Is(cause, errClosed))
+	case status == http.StatusUnprocessableEntity:
+		r.giveUp(u.ref, "the target can never run it")
+		r.ended(u, false)
+	case status >= http.StatusBadRequest && status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests:
+		u.failed()
+	default:
+		u.broken(err)
+	}
+}
+
+// failed counts an answer that says that the item failed.
+func (u *run) failed() {
+	r := u.runner
+	u.progress.attempts++
+	if max(u.progress.attempts, u.failures+1) >= u.maxAttempts {
+		r.giveUp(u.ref, "all attempts failed")
+		r.ended(u, false)
+		return
+	}
+	u.progress.notBefore = time.Now().Add(retryPause)
+	r.results.failed(u.ref)
+	r.ended(u, true)
+}
+
+// broken lets the item go on elsewhere after its last event.
+func (u *run) broken(err error) {
+	r := u.runner
+	var failure *targetcall.Failure
+	busy := errors.As(err, &failure) && failure.Outcome == outcome.NotRun && failure.Status != 0
+	if !busy {
+		r.follower.Targets.Failed(time.Now(), u.target.ID)
+	}
+	u.progress.notBefore = time.Now().Add(retryPause)
+	r.ended(u, true)
+}
+
+// exchange reads the events of the item into its progress. The status is that
+// of the answer, or 0.
+func (u *run) exchange(ctx context.Context) (status int, err error) {
+	answer, err := u.runner.caller.Do(ctx, u.target, u.request)
+	if err != nil {
+		var failure *targetcall.Failure
+		if errors.As(err, &failure) {
+			status = failure.Status
+		}
+		return status, err
+	}
+	defer answer.Close()
+	if answer.Status != http.StatusOK {
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxErrorBytes)) // only the status counts
+		return answer.Status, errors.Newf("status %d", answer.Status)
+	}
+	events := targetcall.NewEventReader(answer)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return answer.Status, nil
+		}
+		if err != nil {
+			return 0, err
+		}
+		if err := u.progress.add(event); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// add appends an event that follows the last one.
+func (p *progress) add(e *targetcall.Event) error {
+	if e.ID != 0 && e.ID <= p.last {
+		return nil
+	}
+	if e.ID != 0 && p.last != 0 && e.ID != p.last+1 {
+		return targetcall.ErrGap
+	}
+	if p.last > 0 {
+		p.text = append(p.text, '\n')
+	}
+	p.text = append(p.text, e.Data...)
+	p.last = max(e.ID, p.last+1)
+	return nil
+}
--- /dev/null
+++ b/services/jobhost/runner.go
@@ -0,0 +1,333 @@
+package jobhost
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+
+	"banyanwalk/core/jobs"
+	"banyanwalk/core/placement"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/services/follow"
+	"banyanwalk/services/replicated"
+	"banyanwalk/services/targetcall"
+)
+
+const (
+	// spareSlots stay free at each target for the online requests that come
+	// before the gateways' next reports.
+	spareSlots = 2
+	// fillEvery bounds the time until the runner sees a change of the loads.
+	fillEvery = 100 * time.Millisecond
+	// waitMargin is added to the time after which an item is given up, as this
+	// host may have seen its job late.
+	waitMargin = 1 * time.Second
+	// retryPause is the pause after which an item that failed runs again.
+	retryPause = 300 * time.Millisecond
+	// dropEvery is the pause between two looks for jobs that may go.
+	dropEvery = 30 * time.Second
+)
+
+// runner runs the items of open jobs while this host leads.
+type runner struct {
+	server   *Server
+	log      *telemetry.Log
+	follower *follow.Follower
+	group    *replicated.Group[jobs.Answer]
+	caller   *targetcall.Caller
+	results  *resultLog
+	started  metrics.Counter
+	resumed  metrics.Counter
+	yielded  metrics.Counter
+
+	wg      conc.WaitGroup
+	mu      sync.Mutex
+	running map[jobs.ItemRef]*run
+	pausing map[jobs.ItemRef]*progress // items that are not running but have begun or failed
+	wake    chan struct{}
+	dropped time.Time
+}
+
+// progress is how far an item has come.
+type progress struct {
+	text      []byte
+	last      int64 // id of the last event in text
+	notBefore time.Time
+	attempts  int // answers that counted as failed, of this leader
+}
+
+func newRunner(s *Server, group *replicated.Group[jobs.Answer]) *runner {
+	r := &runner{
+		server:   s,
+		log:      s.log,
+		follower: s.cfg.Follower,
+		group:    group,
+		caller:   targetcall.NewCaller(s.cfg.Dialect, s.cfg.Metrics),
+		started:  metrics.GetOrRegisterCounter("jobhost.items.started", s.cfg.Metrics),
+		resumed:  metrics.GetOrRegisterCounter("jobhost.items.resumed", s.cfg.Metrics),
+		yielded:  metrics.GetOrRegisterCounter("jobhost.items.yielded", s.cfg.Metrics),
+		running:  make(map[jobs.ItemRef]*run),
+		pausing:  make(map[jobs.ItemRef]*progress),
+		wake:     make(chan struct{}, 1),
+		dropped:  time.Now(),
+	}
+	r.results = newResultLog(group, s.log, r.nudge)
+	return r
+}
+
+// nudge lets the runner look at once.
+func (r *runner) nudge() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run starts and stops items until ctx ends.
+func (r *runner) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer r.wg.Wait()
+	defer cancel()
+	r.wg.Go(func() { r.results.run(ctx) })
+	leading := false
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		changed := r.server.state.next()
+		if leads := r.group.Replica().Status().IsLeader; leads != leading {
+			leading = leads
+			r.log.Info("runner_leads", "leads", leads)
+			if !leads {
+				r.stopAll()
+			}
+		}
+		if leading {
+			r.review(ctx, time.Now())
+		}
+		timer.Reset(fillEvery)
+		select {
+		case <-ctx.Done():
+			r.stopAll()
+			return nil
+		case <-timer.C:
+		case <-changed:
+		case <-r.wake:
+		}
+	}
+}
+
+// review stops what must stop and starts what can start.
+func (r *runner) review(ctx context.Context, now time.Time) {
+	r.stopClosed()
+	r.yield()
+	open := r.openItems(now)
+	full := make(map[string]bool)
+	for i := range open {
+		r.start(ctx, now, &open[i], full)
+	}
+	r.dropOld(ctx, now)
+}
+
+// openItem is an item that could run now.
+type openItem struct {
+	ref  jobs.ItemRef
+	job  *jobs.Job
+	due  time.Time
+	seen time.Time
+}
+
+// openItems returns the items that neither run nor pause, the earliest due
+// first.
+func (r *runner) openItems(now time.Time) []openItem {
+	var open []openItem
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.server.state.read(func(m *jobs.Machine, seen map[string]time.Time) {
+		for _, job := range m.Jobs() {
+			if !job.Unfinished() {
+				continue
+			}
+			began := seen[job.ID]
+			for i := range job.Items {
+				ref := jobs.ItemRef{Job: job.ID, Item: i}
+				if !job.Open(i) || r.running[ref] != nil || r.results.pending(ref) {
+					continue
+				}
+				if p := r.pausing[ref]; p != nil && now.Before(p.notBefore) {
+					continue
+				}
+				open = append(open, openItem{ref: ref, job: job, seen: began,
+					due: began.Add(time.Duration(job.CompletionMS) * time.Millisecond)})
+			}
+		}
+	})
+	slices.SortStableFunc(open, func(a, b openItem) int { return a.due.Compare(b.due) })
+	return open
+}
+
+// start runs an item at a target with a slot to spare, if there is one.
+func (r *runner) start(ctx context.Context, now time.Time, item *openItem, full map[string]bool) {
+	job := item.job
+	work := &job.Items[item.ref.Item]
+	giveUp := item.seen.Add(time.Duration(job.MaxWaitMS)*time.Millisecond + waitMargin)
+	if job.MaxWaitMS > 0 && now.After(giveUp) {
+		r.giveUp(item.ref, "its time is over")
+		return
+	}
+	table := r.follower.Table()
+	if table == nil {
+		return
+	}
+	route := table.Route(job.Host, pathOf(work.Path))
+	if route == nil {
+		r.giveUp(item.ref, "its route is gone")
+		return
+	}
+	name := route.Pick(0)
+	if full[name] {
+		return
+	}
+	query := placement.Query{Service: name, Batch: true, Spare: spareSlots}
+	if service := table.Service(name); service != nil {
+		query.WarmupPerSecond = service.WarmupPerSecond
+	}
+	target := r.follower.Targets.Acquire(now, query)
+	if target == nil {
+		full[name] = true
+		return
+	}
+	r.mu.Lock()
+	kept := r.pausing[item.ref]
+	if kept == nil {
+		kept = &progress{}
+	}
+	delete(r.pausing, item.ref)
+	running, cancel := context.WithCancelCause(ctx)
+	started := &run{runner: r, ref: item.ref, target: target, progress: kept, began: now, cancel: cancel,
+		request: r.request(job, work, giveUp), maxAttempts: job.MaxAttempts, failures: job.Failures[item.ref.Item]}
+	r.running[item.ref] = started
+	r.mu.Unlock()
+	r.started.Inc(1)
+	r.wg.Go(func() { started.execute(running) })
+}
+
+func pathOf(uri string) string {
+	for i := range uri {
+		if uri[i] == '?' {
+			return uri[:i]
+		}
+	}
+	return uri
+}
+
+// request returns what goes to the target of an item.
+func (r *runner) request(job *jobs.Job, item *jobs.Item, deadline time.Time) *targetcall.Request {
+	header := make(http.Header, len(item.Headers))
+	for _, h := range item.Headers {
+		if !targetcall.IsHop(h.Name, "") && !r.server.cfg.Dialect.IsOwn(h.Name) {
+			header[h.Name] = append(header[h.Name], h.Value)
+		}
+	}
+	return &targetcall.Request{
+		Method: http.MethodPost, URI: item.Path, Host: job.Host, Header: header, Body: item.Body,
+		ID: item.ID, Workspace: job.Workspace, Deadline: deadline,
+	}
+}
+
+// giveUp lists an item as abandoned.
+func (r *runner) giveUp(ref jobs.ItemRef, why string) {
+	r.log.Info("item_given_up", "job", ref.Job, "item", ref.Item, "reason", why)
+	r.results.add(jobs.Finished{ItemRef: ref, State: jobs.Abandoned})
+}
+
+// stopClosed stops the runs of items that are not open any more.
+func (r *runner) stopClosed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.server.state.read(func(m *jobs.Machine, _ map[string]time.Time) {
+		for ref, running := range r.running {
+			if job := m.Job(ref.Job); job == nil || !job.Open(ref.Item) {
+				running.cancel(errClosed)
+			}
+		}
+		for ref := range r.pausing {
+			if job := m.Job(ref.Job); job == nil || !job.Open(ref.Item) {
+				delete(r.pausing, ref)
+			}
+		}
+	})
+}
+
+// yield takes batch items away from targets where online requests wait, the
+// youngest first.
+func (r *runner) yield() {
+	crowded := r.follower.Targets.Crowded(0)
+	if len(crowded) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	byTarget := make(map[string][]*run)
+	for _, running := range r.running {
+		byTarget[running.target.ID] = append(byTarget[running.target.ID], running)
+	}
+	for id, over := range crowded {
+		runs := byTarget[id]
+		slices.SortFunc(runs, func(a, b *run) int { return b.began.Compare(a.began) })
+		for _, victim := range runs[:min(over, len(runs))] {
+			r.yielded.Inc(1)
+			victim.cancel(errYielded)
+		}
+	}
+}
+
+func (r *runner) stopAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, running := range r.running {
+		running.cancel(errNotLeading)
+	}
+}
+
+// ended takes a run off the list. An item that is to run again keeps its
+// progress.
+func (r *runner) ended(ended *run, again bool) {
+	r.mu.Lock()
+	if r.running[ended.ref] == ended {
+		delete(r.running, ended.ref)
+	}
+	if again {
+		r.pausing[ended.ref] = ended.progress
+	}
+	r.mu.Unlock()
+	r.follower.Targets.Release(ended.target.ID, true)
+	r.nudge()
+}
+
+// dropOld drops jobs that nobody may ask for any more.
+func (r *runner) dropOld(ctx context.Context, now time.Time) {
+	if now.Sub(r.dropped) < dropEvery || r.server.cfg.KeepFor <= 0 {
+		return
+	}
+	r.dropped = now
+	var old []string
+	r.server.state.read(func(m *jobs.Machine, seen map[string]time.Time) {
+		for _, job := range m.Jobs() {
+			if !job.Unfinished() && now.Sub(seen[job.ID]) > r.server.cfg.KeepFor {
+				old = append(old, job.ID)
+			}
+		}
+	})
+	if len(old) == 0 {
+		return
+	}
+	r.wg.Go(func() {
+		_, err := r.group.Execute(ctx, jobs.Command{Drop: old})
+		r.log.Info("jobs_dropped", "jobs", len(old), "error", err)
+	})
+}
--- /dev/null
+++ b/services/jobhost/state.go
@@ -0,0 +1,91 @@
+package jobhost
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"banyanwalk/core/jobs"
+	"banyanwalk/core/outcome"
+)
+
+// jobsState binds the jobs to their replica, with readers beside the goroutine
+// that applies. It implements replica.StateMachine.
+type jobsState struct {
+	mu      sync.RWMutex
+	machine *jobs.Machine
+	seen    map[string]time.Time // when this process first saw each job
+	changed chan struct{}        // closed and replaced after each command
+}
+
+func newJobsState() *jobsState {
+	return &jobsState{machine: jobs.NewMachine(), seen: make(map[string]time.Time), changed: make(chan struct{})}
+}
+
+// Apply executes one encoded jobs.Command and returns its jobs.Answer.
+func (s *jobsState) Apply(_ uint64, command []byte) any {
+	var decoded jobs.Command
+	if err := msgpack.Unmarshal(command, &decoded); err != nil {
+		return jobs.Answer{Error: outcome.New(outcome.Internal, outcome.NotRun, "decode command: %v", err)}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer := s.machine.Apply(decoded)
+	if answer.New != nil {
+		s.seen[answer.New.ID] = time.Now()
+	}
+	for _, id := range decoded.Drop {
+		delete(s.seen, id)
+	}
+	s.wake()
+	return answer
+}
+
+// Snapshot encodes the whole state.
+func (s *jobsState) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return msgpack.Marshal(s.machine.Snapshot())
+}
+
+// Restore replaces the whole state.
+func (s *jobsState) Restore(encoded []byte) error {
+	var snapshot jobs.Snapshot
+	if err := msgpack.Unmarshal(encoded, &snapshot); err != nil {
+		return errors.Wrap(err, "decode jobs snapshot")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.machine = jobs.Restore(snapshot)
+	now := time.Now()
+	for _, job := range snapshot.Jobs {
+		if _, known := s.seen[job.ID]; !known {
+			s.seen[job.ID] = now
+		}
+	}
+	s.wake()
+	return nil
+}
+
+// wake lets all look that wait for a change. The caller holds the lock.
+func (s *jobsState) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// next returns a channel that is closed at the next change.
+func (s *jobsState) next() <-chan struct{} {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.changed
+}
+
+// read calls f with the machine and the times at which this process first saw
+// each job. f must not change or keep them.
+func (s *jobsState) read(f func(m *jobs.Machine, seen map[string]time.Time)) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	f(s.machine, s.seen)
+}
--- /dev/null
+++ b/services/replicated/group.go
@@ -0,0 +1,244 @@
+// Package replicated runs one host's replica of one replicated group whose
+// hosts find each other by address: a replica's id is the wire address of its
+// host, so that no list of peers is kept anywhere.
+package replicated
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc/pool"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"banyanwalk/core/outcome"
+	"banyanwalk/infra/rafttransport"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
+	"banyanwalk/services/control/replica"
+)
+
+// Times of a group. They are longer than those of a control host with a list
+// of peers, as each wake-up is paid for on the hosts of a site.
+const (
+	heartbeatInterval = 200 * time.Millisecond
+	electionTimeout   = 900 * time.Millisecond
+	replaceAfter      = 5 * time.Second
+	leaderPause       = 20 * time.Millisecond // before the next look for a leader
+)
+
+// Config describes the replica of this host.
+type Config struct {
+	Group         uint32
+	Addr          string   // wire address of this host, ip:port
+	Peers         []uint64 // replica ids to ask, or to found the group with
+	Joining       bool     // never found the group
+	Voters        int      // hosts that are to have a vote
+	Dir           string
+	SnapshotEvery int // entries
+	ClientTLS     *tls.Config
+	Log           *telemetry.Log
+	Metrics       metrics.Registry
+}
+
+// Group is the replica of this host. R is the type of the results of its
+// state machine.
+type Group[R any] struct {
+	cfg       Config
+	id        uint64
+	replica   *replica.Replica
+	transport *rafttransport.Transport
+	calls     *wire.Pool
+}
+
+// ID returns the replica id of a host by its wire address, which must be an
+// IPv4 address with a port.
+func ID(addr string) (uint64, error) {
+	parsed, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return 0, errors.Wrap(err, "wire address")
+	}
+	if !parsed.Addr().Is4() {
+		return 0, errors.Newf("wire address %s is not IPv4", addr)
+	}
+	ip := parsed.Addr().As4()
+	return uint64(binary.BigEndian.Uint32(ip[:]))<<16 | uint64(parsed.Port()), nil
+}
+
+// Addr returns the wire address that a replica id holds.
+func Addr(id uint64) (addr string, found bool) {
+	var ip [4]byte
+	binary.BigEndian.PutUint32(ip[:], uint32(id>>16))
+	port := uint16(id & math.MaxUint16)
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), port).String(), id != 0
+}
+
+// Open recovers the replica of this host or creates it.
+func Open[R any](cfg Config, machine replica.StateMachine) (*Group[R], error) {
+	id, err := ID(cfg.Addr)
+	if err != nil {
+		return nil, err
+	}
+	g := &Group[R]{
+		cfg:       cfg,
+		id:        id,
+		transport: rafttransport.New(id, Addr, cfg.ClientTLS, metrics.GetOrRegisterMeter("raft.dropped", cfg.Metrics)),
+		calls:     wire.NewPool(cfg.ClientTLS),
+	}
+	g.replica, err = replica.Open(replica.Config{
+		Group:             cfg.Group,
+		ID:                id,
+		Peers:             withSelf(cfg.Peers, id),
+		Dir:               cfg.Dir,
+		HeartbeatInterval: heartbeatInterval,
+		ElectionTimeout:   electionTimeout,
+		SnapshotEvery:     cfg.SnapshotEvery,
+		Logger:            eventLog{cfg.Log},
+		Voters:            cfg.Voters,
+		ReplaceAfter:      replaceAfter,
+		Joining:           cfg.Joining,
+	}, machine, g.transport)
+	if err != nil {
+		return nil, errors.Wrapf(err, "open group %d", cfg.Group)
+	}
+	return g, nil
+}
+
+func withSelf(peers []uint64, id uint64) []uint64 {
+	all := []uint64{id}
+	for _, p := range peers {
+		if p != id {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+// Register adds the handlers of the group to the host's server.
+func (g *Group[R]) Register(s *wire.Server) {
+	s.Handle(rpc.MethodRaft, g.receive)
+	wire.HandleUnary(s, rpc.MethodPropose, g.serveProposal)
+}
+
+// Run drives the replica until ctx ends.
+func (g *Group[R]) Run(ctx context.Context) error {
+	defer g.calls.Close()
+	carrying, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	p := pool.New().WithErrors().WithFirstError()
+	p.Go(func() error { return g.transport.Run(carrying) })
+	p.Go(func() error {
+		defer stop()
+		return errors.Wrapf(g.replica.Run(ctx), "group %d", g.cfg.Group)
+	})
+	return p.Wait()
+}
+
+// Replica returns the replica itself.
+func (g *Group[R]) Replica() *replica.Replica { return g.replica }
+
+// ID returns the replica id of this host.
+func (g *Group[R]) ID() uint64 { return g.id }
+
+// Confirm returns once a quorum has confirmed, after the call, that everything
+// acknowledged before it is applied here.
+func (g *Group[R]) Confirm(ctx context.Context) error {
+	_, err := g.replica.ReadIndex(ctx)
+	return err
+}
+
+// Execute runs a command on the leader, wherever it is, and returns its
+// result. While no leader is known it looks for one until ctx ends. An error
+// with outcome NotRun means that the command never will run.
+func (g *Group[R]) Execute(ctx context.Context, command any) (*R, error) {
+	encoded, err := msgpack.Marshal(command)
+	if err != nil {
+		return nil, outcome.New(outcome.Internal, outcome.NotRun, "encode command: %v", err)
+	}
+	for {
+		result, err := g.executeOnce(ctx, encoded)
+		if err == nil || outcome.From(err).Outcome != outcome.NotRun {
+			return result, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(leaderPause):
+		}
+	}
+}
+
+func (g *Group[R]) executeOnce(ctx context.Context, command []byte) (*R, error) {
+	status := g.replica.Status()
+	if status.IsLeader {
+		return g.propose(ctx, command)
+	}
+	addr, found := Addr(status.Leader)
+	if !found {
+		return nil, outcome.New(outcome.NotLeader, outcome.NotRun, "no leader of group %d is known", g.cfg.Group)
+	}
+	var answer rpc.ProposalResult
+	if err := g.calls.Call(ctx, addr, rpc.MethodPropose, &rpc.Proposal{Group: g.cfg.Group, Command: command}, &answer); err != nil {
+		return nil, err
+	}
+	result := new(R)
+	if err := msgpack.Unmarshal(answer.Result, result); err != nil {
+		return nil, outcome.New(outcome.BadFrame, outcome.MayHaveRun, "result of a command: %v", err)
+	}
+	return result, nil
+}
+
+func (g *Group[R]) propose(ctx context.Context, command []byte) (*R, error) {
+	answer, err := g.replica.Propose(ctx, command)
+	if err != nil {
+		return nil, err
+	}
+	result, ok := answer.(R)
+	if !ok {
+		return nil, outcome.New(outcome.Internal, outcome.MayHaveRun, "unexpected result %T", answer)
+	}
+	return &result, nil
+}
+
+// serveProposal runs a command for another host, if this one leads.
+func (g *Group[R]) serveProposal(ctx context.Context, p *rpc.Proposal) (*rpc.ProposalResult, error) {
+	if p.Group != g.cfg.Group || !g.replica.Status().IsLeader {
+		return nil, outcome.New(outcome.NotLeader, outcome.NotRun, "this host does not lead group %d", p.Group)
+	}
+	result, err := g.propose(ctx, p.Command)
+	if err != nil {
+		return nil, err
+	}
+	encoded, err := msgpack.Marshal(result)
+	if err != nil {
+		return nil, outcome.New(outcome.Internal, outcome.MayHaveRun, "encode result: %v", err)
+	}
+	return &rpc.ProposalResult{Result: encoded}, nil
+}
+
+// receive takes the messages of one peer until its stream ends.
+func (g *Group[R]) receive(_ context.Context, stream *wire.Stream) error {
+	for {
+		batch, err := rafttransport.Receive(stream)
+		if err != nil {
+			return err
+		}
+		if batch.Group != g.cfg.Group {
+			continue
+		}
+		for i := range batch.Messages {
+			g.replica.Step(batch.Messages[i])
+		}
+	}
+}
+
+// eventLog adapts the log to package replica.
+type eventLog struct{ log *telemetry.Log }
+
+func (l eventLog) Event(name string, keyValues ...any) { l.log.Info(name, keyValues...) }
--- /dev/null
+++ b/services/targetcall/events_test.go
@@ -0,0 +1,47 @@
+package targetcall
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestEventsAreCutWhole(t *testing.T) {
+	stream := "id: 1\ndata: one\n\nid: 2\r\ndata: two\r\ndata: more\r\n\r\nid: 3\ndata:\n\n"
+	for name, from := range map[string]io.Reader{
+		"at once":      strings.NewReader(stream),
+		"byte by byte": iotest.OneByteReader(strings.NewReader(stream)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := NewEventReader(from)
+			var ids []int64
+			var data []string
+			for {
+				e, err := r.Next()
+				if err != nil {
+					require.ErrorIs(t, err, io.EOF)
+					break
+				}
+				ids = append(ids, e.ID)
+				data = append(data, string(e.Data))
+			}
+			assert.Equal(t, []int64{1, 2, 3}, ids)
+			assert.Equal(t, []string{"one", "two\nmore", ""}, data)
+		})
+	}
+}
+
+func TestATornStreamIsNotWhole(t *testing.T) {
+	r := NewEventReader(strings.NewReader("id: 1\ndata: one\n\nid: 2\ndata: t"))
+	_, err := r.Next()
+	require.NoError(t, err)
+	_, err = r.Next()
+	assert.ErrorIs(t, err, ErrTorn)
+	broken := NewEventReader(iotest.TimeoutReader(iotest.OneByteReader(strings.NewReader("id: 1"))))
+	_, err = broken.Next()
+	assert.ErrorIs(t, err, iotest.ErrTimeout)
+}
