Batch items give way on demand; a stopping gateway refuses what comes late

Ruled out: more spare slots, which leave engines idle in the gaps. Change: a gateway that fills a full target asks the leader of the job group for the slot, which the runner keeps free for 300 ms; spare slots 2 -> 1; online requests prefer full targets where batch gives way; from 3 s after the order to stop new requests are refused at once. Tests with stand-in targets found that a request went twice to the target that had failed it: mended.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -39,7 +39,8 @@
 	others     map[string]Load
 	failures   map[string]*failure
 	cold       map[string]*allowance
-	processes  int // that share what a cold target bears
+	holds      map[string][]time.Time // slots that batch must leave free, by their end
+	processes  int                    // that share what a cold target bears
 }
 
 type failure struct {
@@ -64,6 +65,7 @@
 		others:     make(map[string]Load),
 		failures:   make(map[string]*failure),
 		cold:       make(map[string]*allowance),
+		holds:      make(map[string][]time.Time),
 		processes:  1,
 	}
 }
@@ -131,8 +133,9 @@
 }
 
 // Acquire chooses a target and counts the request there until Release. It
-// returns nil when no target can take the request.
-func (t *Targets) Acquire(now time.Time, q Query) *roster.Record {
+// returns nil when no target can take the request. full tells that the
+// target's slots were all taken, some of them by batch items of others.
+func (t *Targets) Acquire(now time.Time, q Query) (chosen *roster.Record, full bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	best := t.best(now, q, false)
@@ -140,11 +143,34 @@
 		best = t.best(now, q, true)
 	}
 	if best == nil {
-		return nil
+		return nil, false
 	}
+	full = t.total(best.ID) >= slotsOf(best) && t.others[best.ID].Batch > 0
 	t.count(best.ID, q.Batch, 1)
 	t.spendAllowance(now, best)
-	return best
+	return best, full
+}
+
+// Hold keeps one slot of a target free of batch items until a time, for an
+// online request that the reports do not show yet.
+func (t *Targets) Hold(id string, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.holds[id] = append(t.holds[id], until)
+}
+
+// held returns how many slots of a target are kept free at now.
+func (t *Targets) held(now time.Time, id string) int {
+	holds := t.holds[id]
+	for len(holds) > 0 && !now.Before(holds[0]) {
+		holds = holds[1:]
+	}
+	if len(holds) == 0 {
+		delete(t.holds, id)
+		return 0
+	}
+	t.holds[id] = holds
+	return len(holds)
 }
 
 // best returns the least full target. avoided says that targets which failed
@@ -160,7 +186,7 @@
 			continue
 		}
 		fill := t.fill(r)
-		if q.Batch && t.total(r.ID)+q.Spare >= slotsOf(r) {
+		if q.Batch && t.total(r.ID)+t.held(now, r.ID)+q.Spare >= slotsOf(r) {
 			continue
 		}
 		if r.DataCentre != t.dataCentre {
@@ -173,9 +199,16 @@
 	return best
 }
 
-// fill is the share of a target's slots that are taken.
+// fill is the share of a target's slots that are taken. Once all are, batch
+// items do not count: they give way to an online request.
 func (t *Targets) fill(r *roster.Record) float64 {
-	return float64(t.total(r.ID)) / float64(slotsOf(r))
+	slots := slotsOf(r)
+	total := t.total(r.ID)
+	if total < slots {
+		return float64(total) / float64(slots)
+	}
+	online := t.own[r.ID].Online + t.others[r.ID].Online
+	return 1 + float64(online)/float64(slots)
 }
 
 func (t *Targets) total(id string) int {
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -18,6 +18,7 @@
 	MethodJobRead   wire.Method = 111 // unary: JobRead -> JobResults
 	MethodJobBody   wire.Method = 112 // unary: JobBody -> JobBodyData
 	MethodJobEnd    wire.Method = 113 // unary: jobs.EndJob -> Ack
+	MethodJobYield  wire.Method = 114 // unary: JobYield -> Ack
 )
 
 // The roles of processes of a site.
@@ -117,3 +118,9 @@
 type JobBodyData struct {
 	Body []byte `msgpack:"b"`
 }
+
+// JobYield tells the leader of the job group that online requests have come to
+// targets whose slots are all taken.
+type JobYield struct {
+	Requests map[string]int `msgpack:"r"` // by target id
+}
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -29,12 +29,16 @@
 	maxBodyBytes = 16 << 20
 	// headBufferBytes holds the head of one request.
 	headBufferBytes = 18 << 10
-	// noticeTime is how long the balancer needs to notice that a gateway is not
-	// ready any more: two questions a second apart.
-	noticeTime = 2500 * time.Millisecond
-	drainCheck = 50 * time.Millisecond
+	drainCheck      = 50 * time.Millisecond
+	// takeFor is how long a gateway that stops still takes requests. What came
+	// before can end within the grace; what comes later is refused at once.
+	takeFor = 3 * time.Second
 )
 
+// NoticeTime is how long the balancer needs to notice that a gateway is not
+// ready any more: two questions a second apart.
+const NoticeTime = 2500 * time.Millisecond
+
 // JobCalls recognizes and encodes the calls of jobs.
 type JobCalls interface {
 	// Parse returns the call that a request is on a job that exists, or false.
@@ -56,6 +60,7 @@
 	Log        *telemetry.Log
 	Metrics    metrics.Registry
 	Grace      time.Duration // from the order to stop until the process must have ended
+	Notice     time.Duration // that the balancer needs to see that a gateway stops; 0: NoticeTime
 }
 
 // Server is one gateway.
@@ -67,13 +72,17 @@
 	jobs     *jobClient
 	meters   *meters
 	draining atomic.Bool
+	closing  atomic.Bool  // takes no requests any more
 	open     atomic.Int64 // requests being served
 	conns    atomic.Int64 // open connections of callers
-	freed    *signal      // a request has left a target
+	yields   *yields
 }
 
 // New returns a gateway that is ready to serve.
 func New(cfg Config) *Server {
+	if cfg.Notice == 0 {
+		cfg.Notice = NoticeTime
+	}
 	s := &Server{
 		cfg:      cfg,
 		log:      cfg.Log,
@@ -81,8 +90,8 @@
 		caller:   targetcall.NewCaller(cfg.Dialect, cfg.Metrics),
 		jobs:     newJobClient(cfg.Follower),
 		meters:   newMeters(cfg.Metrics),
-		freed:    newSignal(),
 	}
+	s.yields = newYields(s.jobs)
 	return s
 }
 
@@ -116,7 +125,14 @@
 	}
 	p := pool.New().WithErrors().WithFirstError()
 	ended := make(chan struct{})
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	p.Go(func() error {
+		s.yields.run(background)
+		return nil
+	})
 	p.Go(func() error {
+		defer stop()
 		defer close(ended)
 		return errors.Wrap(server.Serve(l), "serve callers")
 	})
@@ -142,7 +158,8 @@
 	s.log.Info("gateway_draining", "open", s.open.Load(), "connections", s.conns.Load())
 	last := s.cfg.Grace * 15 / 16
 	for time.Since(began) < last {
-		if time.Since(began) >= noticeTime && s.open.Load() == 0 {
+		s.closing.Store(time.Since(began) >= takeFor)
+		if time.Since(began) >= s.cfg.Notice && s.open.Load() == 0 {
 			break
 		}
 		time.Sleep(drainCheck)
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -83,7 +83,6 @@
 	}
 	if f.target != nil {
 		f.server.follower.Targets.Release(f.target.ID, false)
-		f.server.freed.notify()
 		f.target = nil
 	}
 }
@@ -102,6 +101,7 @@
 		body, err := io.ReadAll(io.LimitReader(f.answer, maxAnswerBytes+1))
 		if err == nil && len(body) <= maxAnswerBytes {
 			if f.repeats(f.answer.Status) {
+				f.tried[f.target.ID] = true
 				f.leave()
 				continue
 			}
@@ -210,7 +210,11 @@
 	if service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
 	}
-	f.target = s.follower.Targets.Acquire(time.Now(), query)
+	full := false
+	f.target, full = s.follower.Targets.Acquire(time.Now(), query)
+	if full {
+		s.yields.ask(f.target.ID)
+	}
 	if f.target == nil {
 		return outcome.New(outcome.NoTarget, f.outcomeSoFar(), "no target of the service takes requests").After(noTargetRetry)
 	}
--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,7 +18,7 @@
 	// unknownRetry is when a caller may come back to a gateway that knows no
 	// document yet.
 	unknownRetry = 500 * time.Millisecond
-	// statusRetryAfter is the shortest pause that a refusal names.
+	// minRetryAfter is the shortest pause that a refusal names.
 	minRetryAfter = 10 * time.Millisecond
 )
 
@@ -70,6 +71,9 @@
 		started: now,
 		table:   s.follower.Table(),
 	}
+	if s.closing.Load() {
+		return c, outcome.New(outcome.Draining, outcome.NotRun, "this gateway stops").After(minRetryAfter)
+	}
 	if c.table == nil {
 		return c, outcome.New(outcome.StateStale, outcome.NotRun, "no document is known yet").After(unknownRetry)
 	}
@@ -91,9 +95,11 @@
 	return c, nil
 }
 
-// ambiguousLength reports whether a request could be read in two ways.
+// ambiguousLength reports whether a request could be read in two ways. The
+// parser drops the length of such a request, hence the look at the raw bytes.
 func ambiguousLength(h *fasthttp.RequestHeader) bool {
-	return len(h.Peek(fasthttp.HeaderTransferEncoding)) > 0 && len(h.Peek(fasthttp.HeaderContentLength)) > 0
+	raw := bytes.ToLower(h.RawHeaders())
+	return bytes.Contains(raw, []byte("transfer-encoding:")) && bytes.Contains(raw, []byte("content-length:"))
 }
 
 // rawPath returns the path as the caller sent it, without the query.
--- a/services/follow/feed.go
+++ b/services/follow/feed.go
@@ -78,7 +78,7 @@
 		if err := stream.Recv(&push); err != nil {
 			return err
 		}
-		f.merge(time.Now(), addr, &push)
+		f.Take(time.Now(), addr, &push)
 	}
 }
 
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -182,8 +182,8 @@
 	}
 }
 
-// merge takes one push.
-func (f *Follower) merge(now time.Time, from string, push *rpc.FollowPush) {
+// Take merges one push of the control host from. Feeds call it.
+func (f *Follower) Take(now time.Time, from string, push *rpc.FollowPush) {
 	f.Seed(push.Controls)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -119,6 +119,7 @@
 	wire.HandleUnary(s.wire, rpc.MethodJobRead, s.readResults)
 	wire.HandleUnary(s.wire, rpc.MethodJobBody, s.readBody)
 	wire.HandleUnary(s.wire, rpc.MethodJobEnd, s.end)
+	wire.HandleUnary(s.wire, rpc.MethodJobYield, s.yield)
 	s.group.Store(group)
 	s.cfg.Follower.Nudge()
 	carrying, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -226,6 +227,12 @@
 	return s.command(ctx, jobs.Command{End: e})
 }
 
+// yield makes room for online requests at full targets.
+func (s *Server) yield(_ context.Context, y *rpc.JobYield) (*rpc.Ack, error) {
+	s.runner.makeRoom(time.Now(), y.Requests)
+	return &rpc.Ack{}, nil
+}
+
 func (s *Server) command(ctx context.Context, c jobs.Command) (*rpc.Ack, error) {
 	group := s.group.Load()
 	if !group.Replica().Status().IsLeader {
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -34,7 +34,8 @@
 	began       time.Time
 	cancel      context.CancelCauseFunc
 	maxAttempts int
-	failures    int // that the log holds
+	failures    int  // that the log holds
+	ending      bool // it has been told to yield; guarded by the runner
 }
 
 // execute runs the item and decides what becomes of it.
--- a/services/jobhost/runner.go
+++ b/services/jobhost/runner.go
@@ -21,7 +21,10 @@
 const (
 	// spareSlots stay free at each target for the online requests that come
 	// before the gateways' next reports.
-	spareSlots = 2
+	spareSlots = 1
+	// holdFor is until when the gateways' reports show a request that has just
+	// come to a target.
+	holdFor = 300 * time.Millisecond
 	// fillEvery bounds the time until the runner sees a change of the loads.
 	fillEvery = 100 * time.Millisecond
 	// waitMargin is added to the time after which an item is given up, as this
@@ -196,7 +199,7 @@
 	if service := table.Service(name); service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
 	}
-	target := r.follower.Targets.Acquire(now, query)
+	target, _ := r.follower.Targets.Acquire(now, query)
 	if target == nil {
 		full[name] = true
 		return
@@ -263,24 +266,40 @@
 	})
 }
 
-// yield takes batch items away from targets where online requests wait, the
-// youngest first.
+// makeRoom gives slots to online requests that have come to full targets, and
+// keeps them free until the gateways' reports show the requests.
+func (r *runner) makeRoom(now time.Time, requests map[string]int) {
+	for id, count := range requests {
+		for range count {
+			r.follower.Targets.Hold(id, now.Add(holdFor))
+		}
+	}
+	r.take(requests)
+}
+
+// yield takes batch items away from targets where online requests wait.
 func (r *runner) yield() {
-	crowded := r.follower.Targets.Crowded(0)
-	if len(crowded) == 0 {
-		return
+	if crowded := r.follower.Targets.Crowded(0); len(crowded) > 0 {
+		r.take(crowded)
 	}
+}
+
+// take ends so many runs at each target, the youngest first. They go on later.
+func (r *runner) take(crowded map[string]int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	byTarget := make(map[string][]*run)
 	for _, running := range r.running {
-		byTarget[running.target.ID] = append(byTarget[running.target.ID], running)
+		if !running.ending {
+			byTarget[running.target.ID] = append(byTarget[running.target.ID], running)
+		}
 	}
 	for id, over := range crowded {
 		runs := byTarget[id]
 		slices.SortFunc(runs, func(a, b *run) int { return b.began.Compare(a.began) })
 		for _, victim := range runs[:min(over, len(runs))] {
 			r.yielded.Inc(1)
+			victim.ending = true
 			victim.cancel(errYielded)
 		}
 	}
