Order batch items by whether they can still be in time

Change: core/jobs Order puts items that can still be in time first, by due time, and late ones behind, the shortest first; the time an item needs is learned from those that ended. Answers must echo the request's id unless they are failures.

--- /dev/null
+++ b/core/jobs/order_test.go
@@ -0,0 +1,105 @@
+package jobs
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var begin = time.Unix(1000, 0)
+
+// replay gives free slots to arriving items in the order that sort yields, and
+// returns how many end before they are due.
+func replay(arrivals []arrival, slots int, sort func(now time.Time, c []Candidate)) (inTime int) {
+	const step = 50 * time.Millisecond
+	var waiting []Candidate
+	running := make([]time.Time, slots) // when each slot is free again
+	for now := begin; now.Before(begin.Add(2 * time.Minute)); now = now.Add(step) {
+		for len(arrivals) > 0 && !arrivals[0].at.After(now) {
+			waiting = append(waiting, arrivals[0].item)
+			arrivals = arrivals[1:]
+		}
+		sort(now, waiting)
+		for i := range running {
+			if running[i].After(now) || len(waiting) == 0 {
+				continue
+			}
+			item := waiting[0]
+			waiting = waiting[1:]
+			running[i] = now.Add(item.Remaining)
+			if !running[i].After(item.Due) {
+				inTime++
+			}
+		}
+	}
+	return inTime
+}
+
+type arrival struct {
+	at   time.Time
+	item Candidate
+}
+
+// steady returns items that come evenly over half a minute, due in 18 s.
+func steady(perSecond float64) []arrival {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var all []arrival
+	for at := 0.0; at < 30; at += 1 / perSecond {
+		when := begin.Add(time.Duration(at * float64(time.Second)))
+		all = append(all, arrival{at: when, item: Candidate{
+			Due: when.Add(18 * time.Second), Remaining: time.Duration(3+4*rng.Float64()) * time.Second,
+		}})
+	}
+	return all
+}
+
+func byDue(_ time.Time, c []Candidate) {
+	slices.SortStableFunc(c, func(a, b Candidate) int { return a.Due.Compare(b.Due) })
+}
+
+func TestOverloadStillEndsItemsInTime(t *testing.T) {
+	const slots = 20 // which do four items a second
+	for _, load := range []float64{2, 6, 12} {
+		arrivals := steady(load)
+		plain := replay(slices.Clone(arrivals), slots, byDue)
+		ordered := replay(slices.Clone(arrivals), slots, Order)
+		t.Logf("%v items/s: %d of %d in time by due time, %d by Order", load, plain, len(arrivals), ordered)
+		assert.GreaterOrEqual(t, ordered, plain)
+		if load > 8 {
+			assert.Greater(t, ordered, plain*5/4)
+		}
+	}
+}
+
+func TestOrder(t *testing.T) {
+	item := func(id string, due, remaining time.Duration) Candidate {
+		return Candidate{Ref: ItemRef{Job: id}, Due: begin.Add(due), Remaining: remaining}
+	}
+	c := []Candidate{
+		item("late and long", time.Second, 5*time.Second),
+		item("later due", 9*time.Second, time.Second),
+		item("late and short", time.Second, 2*time.Second),
+		item("soon due", 3*time.Second, time.Second),
+	}
+	Order(begin, c)
+	var order []string
+	for _, x := range c {
+		order = append(order, x.Ref.Job)
+	}
+	assert.Equal(t, []string{"soon due", "later due", "late and short", "late and long"}, order)
+}
+
+func TestPaceFollowsWhatItemsTake(t *testing.T) {
+	var p Pace
+	assert.Equal(t, 1000*firstPace, p.Remaining(1000, 0))
+	p.Add(1000, 4*time.Second)
+	assert.Equal(t, 4*time.Second, p.Remaining(1000, 0))
+	assert.Equal(t, time.Duration(0), p.Remaining(1000, 5*time.Second))
+	for range 100 {
+		p.Add(1000, 2*time.Second)
+	}
+	assert.InDelta(t, float64(2*time.Second), float64(p.Remaining(1000, 0)), float64(50*time.Millisecond))
+}
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -33,8 +33,10 @@
 	progress    *progress
 	began       time.Time
 	cancel      context.CancelCauseFunc
+	tokens      int64
 	maxAttempts int
 	failures    int  // that the log holds
+	whole       bool // the answer came whole
 	ending      bool // it has been told to yield; guarded by the runner
 }
 
@@ -54,6 +56,7 @@
 		"error", err, "cause", cause)
 	switch {
 	case err == nil:
+		u.whole = true
 		r.follower.Targets.Succeeded(u.target.ID)
 		r.results.add(jobs.Finished{ItemRef: u.ref, State: jobs.Completed, Text: string(u.progress.text)})
 		r.ended(u, false)
--- a/services/jobhost/runner.go
+++ b/services/jobhost/runner.go
@@ -53,6 +53,7 @@
 	running map[jobs.ItemRef]*run
 	pausing map[jobs.ItemRef]*progress // items that are not running but have begun or failed
 	wake    chan struct{}
+	pace    jobs.Pace
 	dropped time.Time
 }
 
@@ -61,7 +62,8 @@
 	text      []byte
 	last      int64 // id of the last event in text
 	notBefore time.Time
-	attempts  int // answers that counted as failed, of this leader
+	attempts  int           // answers that counted as failed, of this leader
+	spent     time.Duration // at targets, until now
 }
 
 func newRunner(s *Server, group *replicated.Group[jobs.Answer]) *runner {
@@ -128,26 +130,25 @@
 func (r *runner) review(ctx context.Context, now time.Time) {
 	r.stopClosed()
 	r.yield()
-	open := r.openItems(now)
+	order, open := r.openItems(now)
 	full := make(map[string]bool)
-	for i := range open {
-		r.start(ctx, now, &open[i], full)
+	for i := range order {
+		r.start(ctx, now, order[i].Ref, open[order[i].Ref], full)
 	}
 	r.dropOld(ctx, now)
 }
 
 // openItem is an item that could run now.
 type openItem struct {
-	ref  jobs.ItemRef
 	job  *jobs.Job
-	due  time.Time
 	seen time.Time
 }
 
-// openItems returns the items that neither run nor pause, the earliest due
-// first.
-func (r *runner) openItems(now time.Time) []openItem {
-	var open []openItem
+// openItems returns the items that neither run nor pause, in the order in which
+// they are to run.
+func (r *runner) openItems(now time.Time) ([]jobs.Candidate, map[jobs.ItemRef]openItem) {
+	var order []jobs.Candidate
+	open := make(map[jobs.ItemRef]openItem)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.server.state.read(func(m *jobs.Machine, seen map[string]time.Time) {
@@ -155,31 +156,35 @@
 			if !job.Unfinished() {
 				continue
 			}
-			began := seen[job.ID]
+			due := seen[job.ID].Add(time.Duration(job.CompletionMS) * time.Millisecond)
 			for i := range job.Items {
 				ref := jobs.ItemRef{Job: job.ID, Item: i}
 				if !job.Open(i) || r.running[ref] != nil || r.results.pending(ref) {
 					continue
 				}
-				if p := r.pausing[ref]; p != nil && now.Before(p.notBefore) {
-					continue
+				spent := time.Duration(0)
+				if p := r.pausing[ref]; p != nil {
+					if now.Before(p.notBefore) {
+						continue
+					}
+					spent = p.spent
 				}
-				open = append(open, openItem{ref: ref, job: job, seen: began,
-					due: began.Add(time.Duration(job.CompletionMS) * time.Millisecond)})
+				open[ref] = openItem{job: job, seen: seen[job.ID]}
+				order = append(order, jobs.Candidate{Ref: ref, Due: due, Remaining: r.pace.Remaining(job.Items[i].Tokens, spent)})
 			}
 		}
 	})
-	slices.SortStableFunc(open, func(a, b openItem) int { return a.due.Compare(b.due) })
-	return open
+	jobs.Order(now, order)
+	return order, open
 }
 
 // start runs an item at a target with a slot to spare, if there is one.
-func (r *runner) start(ctx context.Context, now time.Time, item *openItem, full map[string]bool) {
+func (r *runner) start(ctx context.Context, now time.Time, ref jobs.ItemRef, item openItem, full map[string]bool) {
 	job := item.job
-	work := &job.Items[item.ref.Item]
+	work := &job.Items[ref.Item]
 	giveUp := item.seen.Add(time.Duration(job.MaxWaitMS)*time.Millisecond + waitMargin)
 	if job.MaxWaitMS > 0 && now.After(giveUp) {
-		r.giveUp(item.ref, "its time is over")
+		r.giveUp(ref, "its time is over")
 		return
 	}
 	table := r.follower.Table()
@@ -188,7 +193,7 @@
 	}
 	route := table.Route(job.Host, pathOf(work.Path))
 	if route == nil {
-		r.giveUp(item.ref, "its route is gone")
+		r.giveUp(ref, "its route is gone")
 		return
 	}
 	name := route.Pick(0)
@@ -205,15 +210,15 @@
 		return
 	}
 	r.mu.Lock()
-	kept := r.pausing[item.ref]
+	kept := r.pausing[ref]
 	if kept == nil {
 		kept = &progress{}
 	}
-	delete(r.pausing, item.ref)
+	delete(r.pausing, ref)
 	running, cancel := context.WithCancelCause(ctx)
-	started := &run{runner: r, ref: item.ref, target: target, progress: kept, began: now, cancel: cancel,
-		request: r.request(job, work, giveUp), maxAttempts: job.MaxAttempts, failures: job.Failures[item.ref.Item]}
-	r.running[item.ref] = started
+	started := &run{runner: r, ref: ref, target: target, progress: kept, began: now, cancel: cancel,
+		request: r.request(job, work, giveUp), tokens: work.Tokens, maxAttempts: job.MaxAttempts, failures: job.Failures[ref.Item]}
+	r.running[ref] = started
 	r.mu.Unlock()
 	r.started.Inc(1)
 	r.wg.Go(func() { started.execute(running) })
@@ -317,6 +322,10 @@
 // progress.
 func (r *runner) ended(ended *run, again bool) {
 	r.mu.Lock()
+	ended.progress.spent += time.Since(ended.began)
+	if ended.whole {
+		r.pace.Add(ended.tokens, ended.progress.spent)
+	}
 	if r.running[ended.ref] == ended {
 		delete(r.running, ended.ref)
 	}
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -163,7 +163,7 @@
 		a.Status, a.Header, a.body = response.StatusCode, response.Header, response.Body
 		a.keep = !response.Close
 		echoed := response.Header.Get(c.dialect.RequestID)
-		if echoed == "" || r.ID == "" || echoed == r.ID {
+		if echoed == r.ID || echoed == "" && response.StatusCode >= http.StatusMultipleChoices {
 			return nil
 		}
 		c.strays.Inc(1)
