--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -211,6 +211,13 @@
 	return 1 + float64(online)/float64(slots)
 }
 
+// Total returns the requests at a target, as far as this process knows.
+func (t *Targets) Total(id string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.total(id)
+}
+
 func (t *Targets) total(id string) int {
 	own, others := t.own[id], t.others[id]
 	return own.Online + own.Batch + others.Online + others.Batch
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -42,6 +42,9 @@
 	cancel  context.CancelCauseFunc
 	stop    func()
 	target  *roster.Record // that has the request; nil: none
+	sent    time.Duration  // from the start until the request went to its last target
+	first   time.Duration  // from the start until the head of the answer was there
+	fill    int            // requests at the target when it was chosen, this one included
 	answer  *targetcall.Answer
 }
 
@@ -150,7 +153,8 @@
 			ctx.Response.Header.Add(name, value)
 		}
 	}
-	f.server.meters.first.Update(ms(time.Since(f.call.started)))
+	f.first = time.Since(f.call.started)
+	f.server.meters.first.Update(ms(f.first))
 }
 
 // finished logs the end of an answered request.
@@ -171,7 +175,7 @@
 	}
 	s.log.Info("request_finished", "request", f.call.id, "route", f.call.route.Name, "workspace", f.call.workspaceName(),
 		"document", f.call.table.Version(), "target", target, "status", status, "runs", f.runs, "refused", f.refused,
-		"after_ms", ms(took), "error", failure)
+		"fill", f.fill, "sent_ms", ms(f.sent), "first_ms", ms(f.first), "after_ms", ms(took), "error", failure)
 }
 
 // attempt sends the request to one target after another until one answers.
@@ -215,9 +219,11 @@
 	if full {
 		s.yields.ask(f.target.ID)
 	}
+	f.sent = time.Since(f.call.started)
 	if f.target == nil {
 		return outcome.New(outcome.NoTarget, f.outcomeSoFar(), "no target of the service takes requests").After(noTargetRetry)
 	}
+	f.fill = s.follower.Targets.Total(f.target.ID)
 	return nil
 }
 
