A broker on the leader of the job group places online requests

Change: the leader of the job group, where the batch items run that give way, grants places and knows at any time how full each engine is; gateways choose by themselves when it does not answer within 60 ms. Three requests may wait at an engine beyond its slots; what finds no place is refused at once.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -24,10 +24,14 @@
 
 // Load is the requests that one process has at a target.
 type Load struct {
-	Online int `msgpack:"o"`
-	Batch  int `msgpack:"b"`
+	Online   int `msgpack:"o"`
+	Batch    int `msgpack:"b"`
+	Brokered int `msgpack:"k,omitempty"` // of Online, those whose target the broker has chosen
 }
 
+// Direct returns the load without the requests that the broker has placed.
+func (l Load) Direct() Load { return Load{Online: l.Online - l.Brokered, Batch: l.Batch} }
+
 // Targets is the fleet as one process sees it. It is safe for concurrent use.
 type Targets struct {
 	dataCentre string
@@ -126,6 +130,8 @@
 // Query asks for the target of one request.
 type Query struct {
 	Service         string
+	DataCentre      string  // whose targets go first; empty: those of this process
+	MaxQueue        int     // requests that may wait at a target beyond its slots; 0: any number
 	WarmupPerSecond float64 // requests that one cold target bears
 	Batch           bool
 	Spare           int             // slots that are to stay free, for batch
@@ -134,7 +140,7 @@
 
 // Acquire chooses a target and counts the request there until Release. It
 // returns nil when no target can take the request. full tells that the
-// target's slots were all taken, some of them by batch items of others.
+// target's slots were all taken, some of them by batch items.
 func (t *Targets) Acquire(now time.Time, q Query) (chosen *roster.Record, full bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -145,12 +151,39 @@
 	if best == nil {
 		return nil, false
 	}
-	full = t.total(best.ID) >= slotsOf(best) && t.others[best.ID].Batch > 0
+	full = t.total(best.ID) >= slotsOf(best) && t.own[best.ID].Batch+t.others[best.ID].Batch > 0
 	t.count(best.ID, q.Batch, 1)
 	t.spendAllowance(now, best)
 	return best, full
 }
 
+// Assign counts a request at a target that the broker has chosen, until
+// Unassign. It returns nil when this process knows no such target in service.
+func (t *Targets) Assign(id string) *roster.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.byID[id]
+	if r == nil || r.State != roster.Ready || t.out(r.DataCentre) {
+		return nil
+	}
+	t.addBrokered(id, 1)
+	return r
+}
+
+// Unassign ends a request that Assign counted.
+func (t *Targets) Unassign(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addBrokered(id, -1)
+}
+
+func (t *Targets) addBrokered(id string, by int) {
+	load := t.own[id]
+	load.Online += by
+	load.Brokered += by
+	t.set(id, load)
+}
+
 // Hold keeps one slot of a target free of batch items until a time, for an
 // online request that the reports do not show yet.
 func (t *Targets) Hold(id string, until time.Time) {
@@ -178,6 +211,10 @@
 func (t *Targets) best(now time.Time, q Query, avoided bool) *roster.Record {
 	var best *roster.Record
 	least := 0.0
+	home := q.DataCentre
+	if home == "" {
+		home = t.dataCentre
+	}
 	for _, r := range t.services[q.Service] {
 		if q.Exclude[r.ID] || t.out(r.DataCentre) || !t.bears(now, r, q) {
 			continue
@@ -189,7 +226,10 @@
 		if q.Batch && t.total(r.ID)+t.held(now, r.ID)+q.Spare >= slotsOf(r) {
 			continue
 		}
-		if r.DataCentre != t.dataCentre {
+		if q.MaxQueue > 0 && t.total(r.ID) >= slotsOf(r)+q.MaxQueue {
+			continue
+		}
+		if r.DataCentre != home {
 			fill += remotePenalty
 		}
 		if best == nil || fill < least {
@@ -272,6 +312,10 @@
 	} else {
 		load.Online += by
 	}
+	t.set(id, load)
+}
+
+func (t *Targets) set(id string, load Load) {
 	if load == (Load{}) {
 		delete(t.own, id)
 		return
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -19,6 +19,9 @@
 	MethodJobBody   wire.Method = 112 // unary: JobBody -> JobBodyData
 	MethodJobEnd    wire.Method = 113 // unary: jobs.EndJob -> Ack
 	MethodJobYield  wire.Method = 114 // unary: JobYield -> Ack
+
+	MethodSlotAcquire wire.Method = 120 // unary: SlotRequest -> SlotGrant, on the broker
+	MethodSlotRelease wire.Method = 121 // unary: SlotRelease -> Ack, on the broker
 )
 
 // The roles of processes of a site.
@@ -124,3 +127,30 @@
 type JobYield struct {
 	Requests map[string]int `msgpack:"r"` // by target id
 }
+
+// SlotID names one use of a slot by one life of a gateway.
+type SlotID struct {
+	Process uint64 `msgpack:"p"`
+	Number  uint64 `msgpack:"n"`
+}
+
+// SlotRequest asks the broker for a slot of a target.
+type SlotRequest struct {
+	ID         SlotID   `msgpack:"i"`
+	Service    string   `msgpack:"s"`
+	DataCentre string   `msgpack:"d"` // of the gateway
+	LeftMS     int64    `msgpack:"l"` // until the request's deadline, milliseconds
+	Exclude    []string `msgpack:"x,omitempty"`
+}
+
+// SlotGrant names the target.
+type SlotGrant struct {
+	Target string `msgpack:"t"`
+	Total  int    `msgpack:"n"` // requests at the target, this one included
+}
+
+// SlotRelease ends uses of slots. Failed names targets that broke off.
+type SlotRelease struct {
+	IDs    []SlotID `msgpack:"i"`
+	Failed []string `msgpack:"f,omitempty"`
+}
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -76,6 +76,7 @@
 	open     atomic.Int64 // requests being served
 	conns    atomic.Int64 // open connections of callers
 	yields   *yields
+	slots    *slots
 }
 
 // New returns a gateway that is ready to serve.
@@ -92,6 +93,7 @@
 		meters:   newMeters(cfg.Metrics),
 	}
 	s.yields = newYields(s.jobs)
+	s.slots = newSlots(cfg.Follower, s.jobs)
 	return s
 }
 
@@ -131,6 +133,10 @@
 		s.yields.run(background)
 		return nil
 	})
+	p.Go(func() error {
+		s.slots.run(background)
+		return nil
+	})
 	p.Go(func() error {
 		defer stop()
 		defer close(ended)
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -13,6 +13,7 @@
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/placement"
 	"banyanwalk/core/roster"
+	"banyanwalk/core/routing"
 	"banyanwalk/infra/netpeek"
 	"banyanwalk/services/targetcall"
 )
@@ -44,7 +45,8 @@
 	target  *roster.Record // that has the request; nil: none
 	sent    time.Duration  // from the start until the request went to its last target
 	first   time.Duration  // from the start until the head of the answer was there
-	fill    int            // requests at the target when it was chosen, this one included
+	slot    *slot          // at target; nil: none
+	failed  bool           // the target broke off
 	answer  *targetcall.Answer
 }
 
@@ -85,8 +87,8 @@
 		f.answer = nil
 	}
 	if f.target != nil {
-		f.server.follower.Targets.Release(f.target.ID, false)
-		f.target = nil
+		f.server.slots.release(f.slot, f.failed)
+		f.target, f.slot, f.failed = nil, nil, false
 	}
 }
 
@@ -163,9 +165,9 @@
 	s.meters.finished.Inc(1)
 	took := time.Since(f.call.started)
 	s.meters.whole.Update(ms(took))
-	target, status := "", 0
+	target, status, fill := "", 0, 0
 	if f.target != nil {
-		target = f.target.ID
+		target, fill = f.target.ID, f.slot.total
 	}
 	if f.answer != nil {
 		status = f.answer.Status
@@ -175,7 +177,7 @@
 	}
 	s.log.Info("request_finished", "request", f.call.id, "route", f.call.route.Name, "workspace", f.call.workspaceName(),
 		"document", f.call.table.Version(), "target", target, "status", status, "runs", f.runs, "refused", f.refused,
-		"fill", f.fill, "sent_ms", ms(f.sent), "first_ms", ms(f.first), "after_ms", ms(took), "error", failure)
+		"fill", fill, "sent_ms", ms(f.sent), "first_ms", ms(f.first), "after_ms", ms(took), "error", failure)
 }
 
 // attempt sends the request to one target after another until one answers.
@@ -214,19 +216,31 @@
 	if service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
 	}
-	full := false
-	f.target, full = s.follower.Targets.Acquire(time.Now(), query)
-	if full {
-		s.yields.ask(f.target.ID)
-	}
+	got, failure := s.place(f.ctx, f.call, service, query)
 	f.sent = time.Since(f.call.started)
-	if f.target == nil {
-		return outcome.New(outcome.NoTarget, f.outcomeSoFar(), "no target of the service takes requests").After(noTargetRetry)
+	if failure != nil {
+		return failure.WithOutcome(f.outcomeSoFar())
+	}
+	if got.full {
+		s.yields.ask(got.target.ID)
 	}
-	f.fill = s.follower.Targets.Total(f.target.ID)
+	f.slot, f.target = got, got.target
 	return nil
 }
 
+// place returns a place for a request. Only model engines are shared with
+// batch items, so that the others need no broker.
+func (s *Server) place(ctx context.Context, c *call, service *routing.Service, q placement.Query) (*slot, *outcome.Error) {
+	if service == nil || service.Slots == 0 {
+		target, _ := s.follower.Targets.Acquire(time.Now(), q)
+		if target == nil {
+			return nil, outcome.New(outcome.NoTarget, outcome.NotRun, "no target of the service takes requests").After(noTargetRetry)
+		}
+		return &slot{target: target, total: s.follower.Targets.Total(target.ID)}, nil
+	}
+	return s.slots.acquire(ctx, s.cfg.DataCentre, c.deadline, q)
+}
+
 const noTargetRetry = 300 * time.Millisecond
 
 // outcomeSoFar is what is known of the request after the targets tried.
@@ -243,6 +257,7 @@
 	f.tried[f.target.ID] = true
 	busy := failure.Outcome == outcome.NotRun && failure.Status != 0
 	if !busy && f.ctx.Err() == nil {
+		f.failed = true
 		s.follower.Targets.Failed(time.Now(), f.target.ID)
 	}
 	s.log.Info("attempt_failed", "request", f.call.id, "target", f.target.ID, "addr", f.target.Addr, "outcome", failure.Outcome.String(),
--- a/services/follow/feed.go
+++ b/services/follow/feed.go
@@ -98,7 +98,7 @@
 			pause.For(ctx, nudgePause)
 		}
 		timer.Reset(reportInterval)
-		own := f.Targets.Own()
+		own := f.reported()
 		if maps.Equal(own, before) && time.Since(sent) < reportIdle {
 			continue
 		}
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -38,6 +38,7 @@
 type Config struct {
 	Member  rpc.Member                                   // Store is filled in by Storage
 	Storage func() *rpc.StorageState                     // nil unless this is a storage host
+	Brokers func() bool                                  // this process knows what it has placed for others; nil: no
 	Seeds   []string                                     // wire addresses of control hosts
 	Decode  func(body []byte) (*routing.Document, error) // the canonical encoding of a document
 	TLS     *tls.Config
@@ -178,10 +179,29 @@
 		Member:   member,
 		Sequence: f.sequence.Add(1),
 		Spent:    f.Buckets.Spent(),
-		Loads:    f.Targets.Own(),
+		Loads:    f.reported(),
 	}
 }
 
+// reported returns what this process has at each target. A broker leaves out
+// what it has placed for others, as they report that themselves.
+func (f *Follower) reported() map[string]placement.Load {
+	own := f.Targets.Own()
+	if f.cfg.Brokers == nil {
+		return own
+	}
+	batch := make(map[string]placement.Load)
+	for id, load := range own {
+		if load.Batch > 0 {
+			batch[id] = placement.Load{Batch: load.Batch}
+		}
+	}
+	return batch
+}
+
+// Process returns the number of this life of the process.
+func (f *Follower) Process() uint64 { return f.cfg.Member.Process }
+
 // Take merges one push of the control host from. Feeds call it.
 func (f *Follower) Take(now time.Time, from string, push *rpc.FollowPush) {
 	f.Seed(push.Controls)
@@ -269,12 +289,16 @@
 func (f *Follower) sumLoads(now time.Time) {
 	sum := make(map[string]placement.Load)
 	processes := 1
+	brokers := f.cfg.Brokers != nil && f.cfg.Brokers()
 	for name, m := range f.members {
 		if name == f.cfg.Member.Name || now.Sub(m.heard) > memberSilence {
 			continue
 		}
 		processes++
 		for id, load := range m.load.Loads {
+			if brokers {
+				load = load.Direct()
+			}
 			total := sum[id]
 			total.Online += load.Online
 			total.Batch += load.Batch
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -58,12 +58,14 @@
 
 // Server is one storage host.
 type Server struct {
-	cfg    Config
-	log    *telemetry.Log
-	wire   *wire.Server
-	state  *jobsState
-	group  atomic.Pointer[replicated.Group[jobs.Answer]]
-	runner *runner
+	cfg     Config
+	log     *telemetry.Log
+	wire    *wire.Server
+	state   *jobsState
+	group   atomic.Pointer[replicated.Group[jobs.Answer]]
+	runner  *runner
+	broker  *broker
+	brokers atomic.Bool // the broker knows of all requests that it has placed
 }
 
 // New returns a storage host that Run opens.
@@ -79,6 +81,9 @@
 // SetFollower gives the host its view of the site, before Run.
 func (s *Server) SetFollower(f *follow.Follower) { s.cfg.Follower = f }
 
+// Brokers reports whether this host knows what it has placed for the gateways.
+func (s *Server) Brokers() bool { return s.brokers.Load() }
+
 // Storage returns the state of this host for the others.
 func (s *Server) Storage() *rpc.StorageState {
 	id, err := replicated.ID(s.cfg.Addr)
@@ -114,12 +119,15 @@
 		return err
 	}
 	s.runner = newRunner(s, group)
+	s.broker = newBroker(s, s.runner)
 	group.Register(s.wire)
 	wire.HandleUnary(s.wire, rpc.MethodJobSubmit, s.submit)
 	wire.HandleUnary(s.wire, rpc.MethodJobRead, s.readResults)
 	wire.HandleUnary(s.wire, rpc.MethodJobBody, s.readBody)
 	wire.HandleUnary(s.wire, rpc.MethodJobEnd, s.end)
 	wire.HandleUnary(s.wire, rpc.MethodJobYield, s.yield)
+	wire.HandleUnary(s.wire, rpc.MethodSlotAcquire, s.broker.acquire)
+	wire.HandleUnary(s.wire, rpc.MethodSlotRelease, s.broker.release)
 	s.group.Store(group)
 	s.cfg.Follower.Nudge()
 	carrying, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -205,6 +213,7 @@
 			s.cfg.Follower.Nudge()
 		case <-ticker.C:
 		}
+		s.brokers.Store(s.broker.settled())
 		var retired []uint64
 		for _, r := range s.cfg.Follower.Catalog().Retired {
 			retired = append(retired, r.Host)
