Come back sooner after everything was lost; callers that come back go first

Change: dials of 300 to 500 ms; a host with state opens its replica at once; election timeout 900 -> 700 ms; two requests instead of three may wait at an engine, ten for callers that come back.

--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -141,6 +141,7 @@
 	DataCentre string   `msgpack:"d"` // of the gateway
 	LeftMS     int64    `msgpack:"l"` // until the request's deadline, milliseconds
 	Exclude    []string `msgpack:"x,omitempty"`
+	Returning  bool     `msgpack:"r,omitempty"` // the caller has been refused before
 }
 
 // SlotGrant names the target.
--- a/infra/targetconn/pool.go
+++ b/infra/targetconn/pool.go
@@ -16,7 +16,7 @@
 
 const (
 	readBufferBytes = 16 << 10
-	dialTimeout     = 1 * time.Second
+	dialTimeout     = 400 * time.Millisecond
 )
 
 // keepAlive finds connections that have gone silent within three seconds.
--- a/infra/wire/conn.go
+++ b/infra/wire/conn.go
@@ -23,7 +23,7 @@
 	ProtocolVersion uint16 = 1
 	helloMagic      uint32 = 0x62616e79
 	helloBytes             = 6
-	dialTimeout            = 1 * time.Second
+	dialTimeout            = 500 * time.Millisecond
 	helloTimeout           = 2 * time.Second
 	keepAlive              = 1 * time.Second
 	writeTimeout           = 2 * time.Second // also for the answer to a keep-alive: a silent connection ends after 3 s
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -15,6 +15,7 @@
 	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
 	"banyanwalk/infra/netpeek"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/services/targetcall"
 )
 
@@ -238,7 +239,12 @@
 		}
 		return &slot{target: target, total: s.follower.Targets.Total(target.ID)}, nil
 	}
-	return s.slots.acquire(ctx, s.cfg.DataCentre, c.deadline, q)
+	request := &rpc.SlotRequest{
+		DataCentre: s.cfg.DataCentre,
+		LeftMS:     time.Until(c.deadline).Milliseconds(),
+		Returning:  c.returning,
+	}
+	return s.slots.acquire(ctx, request, q)
 }
 
 const noTargetRetry = 300 * time.Millisecond
--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -18,6 +18,9 @@
 	// unknownRetry is when a caller may come back to a gateway that knows no
 	// document yet.
 	unknownRetry = 500 * time.Millisecond
+	// returnMargin is how much less than the route's timeout a caller that comes
+	// back has left at least.
+	returnMargin = 50 * time.Millisecond
 	// minRetryAfter is the shortest pause that a refusal names.
 	minRetryAfter = 10 * time.Millisecond
 )
@@ -30,6 +33,7 @@
 	route     *routing.Route
 	workspace *routing.Workspace // nil on public routes
 	table     *routing.Table
+	returning bool // the caller has used up part of its time, so it was refused before
 }
 
 func (c *call) workspaceName() string {
@@ -92,6 +96,7 @@
 		return c, err
 	}
 	c.deadline = s.deadline(ctx, c)
+	c.returning = c.deadline.Sub(c.started) < c.route.Timeout-returnMargin
 	return c, nil
 }
 
--- a/services/entry/slots.go
+++ b/services/entry/slots.go
@@ -56,8 +56,8 @@
 }
 
 // acquire returns a place, or the reason why there is none.
-func (s *slots) acquire(ctx context.Context, dataCentre string, deadline time.Time, q placement.Query) (*slot, *outcome.Error) {
-	got, failure := s.ask(ctx, dataCentre, deadline, q)
+func (s *slots) acquire(ctx context.Context, request *rpc.SlotRequest, q placement.Query) (*slot, *outcome.Error) {
+	got, failure := s.ask(ctx, request, q)
 	if got != nil || failure != nil {
 		return got, failure
 	}
@@ -70,7 +70,7 @@
 
 // ask asks the broker. It returns neither a slot nor a failure when there is no
 // broker or its choice cannot be used.
-func (s *slots) ask(ctx context.Context, dataCentre string, deadline time.Time, q placement.Query) (*slot, *outcome.Error) {
+func (s *slots) ask(ctx context.Context, request *rpc.SlotRequest, q placement.Query) (*slot, *outcome.Error) {
 	now := time.Now()
 	if now.UnixNano() < s.away.Load() {
 		return nil, nil
@@ -79,12 +79,8 @@
 	if len(hosts) == 0 || !hosts[0].Leads {
 		return nil, nil
 	}
-	request := &rpc.SlotRequest{
-		ID:         rpc.SlotID{Process: s.follower.Process(), Number: s.number.Add(1)},
-		Service:    q.Service,
-		DataCentre: dataCentre,
-		LeftMS:     deadline.Sub(now).Milliseconds(),
-	}
+	request.ID = rpc.SlotID{Process: s.follower.Process(), Number: s.number.Add(1)}
+	request.Service = q.Service
 	for id := range q.Exclude {
 		request.Exclude = append(request.Exclude, id)
 	}
--- a/services/follow/feed.go
+++ b/services/follow/feed.go
@@ -14,7 +14,9 @@
 )
 
 const (
-	dialTimeout = 1 * time.Second
+	// dialTimeout is short: a host without power does not answer, and the next
+	// try may find it back.
+	dialTimeout = 300 * time.Millisecond
 	// stallTimeout ends a feed whose host pushes nothing. Hosts push every
 	// 400 ms at least.
 	stallTimeout = 1500 * time.Millisecond
--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -23,7 +23,10 @@
 	grantMargin = 500 * time.Millisecond
 	// maxQueue is how many requests may wait at a target beyond its slots. A
 	// slot gets free every 100 ms, and a first event is due within 300.
-	maxQueue = 3
+	maxQueue = 2
+	// maxQueueReturning is the same for callers that have been refused before:
+	// they come back once, and rather get a late answer than none.
+	maxQueueReturning = 10
 	// busyRetry is when a request may come back that found no place.
 	busyRetry = 300 * time.Millisecond
 	sweepEach = 256 // grants between two looks for those that have lapsed
@@ -89,6 +92,9 @@
 		return nil, notLeader()
 	}
 	query := placement.Query{Service: r.Service, DataCentre: r.DataCentre, MaxQueue: maxQueue, Exclude: make(map[string]bool, len(r.Exclude))}
+	if r.Returning {
+		query.MaxQueue = maxQueueReturning
+	}
 	for _, id := range r.Exclude {
 		query.Exclude[id] = true
 	}
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -34,9 +34,6 @@
 	confirmTimeout = 600 * time.Millisecond
 	// maxReadBytes bounds the texts of one answer to a read.
 	maxReadBytes = 900 << 10
-	// peersTimeout is how long a host that has state waits to hear of others
-	// before it starts with what its log names.
-	peersTimeout = 1 * time.Second
 	reviewEvery  = 200 * time.Millisecond
 )
 
@@ -177,18 +174,17 @@
 	}, s.state)
 }
 
-// awaitFounders waits for the founders of the group. A host with state starts
-// without them after a while.
+// awaitFounders waits for the founders of the group. A host with state need not
+// wait: its log names the others.
 func (s *Server) awaitFounders(ctx context.Context) (founders []uint64, known bool) {
 	entries, err := os.ReadDir(s.cfg.DataDir)
 	hasState := err == nil && len(entries) > 0
-	started := time.Now()
 	for {
 		changed := s.cfg.Follower.Changed()
 		if founders := s.cfg.Follower.Catalog().Founders; len(founders) > 0 {
 			return founders, true
 		}
-		if hasState && time.Since(started) > peersTimeout {
+		if hasState {
 			return nil, true
 		}
 		select {
--- a/services/replicated/group.go
+++ b/services/replicated/group.go
@@ -27,8 +27,8 @@
 // Times of a group. They are longer than those of a control host with a list
 // of peers, as each wake-up is paid for on the hosts of a site.
 const (
-	heartbeatInterval = 200 * time.Millisecond
-	electionTimeout   = 900 * time.Millisecond
+	heartbeatInterval = 150 * time.Millisecond
+	electionTimeout   = 700 * time.Millisecond
 	replaceAfter      = 5 * time.Second
 	leaderPause       = 20 * time.Millisecond // before the next look for a leader
 )
