A new broker counts no grant of its own twice

Ruled out: a shorter time, as reports and grants overlap at any length. Change: gateways report which of their requests the broker in force has placed, by its number (host and term); the broker leaves out just those under its own.

--- a/cmd/banyan-site-store/main.go
+++ b/cmd/banyan-site-store/main.go
@@ -40,7 +40,7 @@
 		Log:     p.Log,
 		Metrics: p.Metrics,
 	})
-	follower := p.Follower(rpc.RoleStore, host.Storage, host.Brokers)
+	follower := p.Follower(rpc.RoleStore, host.Storage, host.Broker)
 	host.SetFollower(follower)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -26,7 +26,7 @@
 type Load struct {
 	Online   int `msgpack:"o"`
 	Batch    int `msgpack:"b"`
-	Brokered int `msgpack:"k,omitempty"` // of Online, those whose target the broker has chosen
+	Brokered int `msgpack:"k,omitempty"` // of Online, those whose target one broker has chosen
 }
 
 // Direct returns the load without the requests that the broker has placed.
@@ -40,6 +40,7 @@
 	byID       map[string]*roster.Record
 	out        func(dataCentre string) bool
 	own        map[string]Load
+	brokered   map[brokeredAt]int
 	others     map[string]Load
 	failures   map[string]*failure
 	cold       map[string]*allowance
@@ -66,6 +67,7 @@
 		byID:       make(map[string]*roster.Record),
 		out:        func(string) bool { return false },
 		own:        make(map[string]Load),
+		brokered:   make(map[brokeredAt]int),
 		others:     make(map[string]Load),
 		failures:   make(map[string]*failure),
 		cold:       make(map[string]*allowance),
@@ -116,12 +118,20 @@
 	t.processes = max(1, processes)
 }
 
-// Own returns what this process has at each target.
-func (t *Targets) Own() map[string]Load {
+// brokeredAt names what one broker has placed at one target.
+type brokeredAt struct {
+	broker uint64
+	target string
+}
+
+// Own returns what this process has at each target. Brokered is what the given
+// broker has placed.
+func (t *Targets) Own(broker uint64) map[string]Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	own := make(map[string]Load, len(t.own))
 	for id, load := range t.own {
+		load.Brokered = t.brokered[brokeredAt{broker, id}]
 		own[id] = load
 	}
 	return own
@@ -157,31 +167,32 @@
 	return best, full
 }
 
-// Assign counts a request at a target that the broker has chosen, until
+// Assign counts a request at a target that a broker has chosen, until
 // Unassign. It returns nil when this process knows no such target in service.
-func (t *Targets) Assign(id string) *roster.Record {
+func (t *Targets) Assign(broker uint64, id string) *roster.Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.byID[id]
 	if r == nil || r.State != roster.Ready || t.out(r.DataCentre) {
 		return nil
 	}
-	t.addBrokered(id, 1)
+	t.addBrokered(broker, id, 1)
 	return r
 }
 
 // Unassign ends a request that Assign counted.
-func (t *Targets) Unassign(id string) {
+func (t *Targets) Unassign(broker uint64, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.addBrokered(id, -1)
+	t.addBrokered(broker, id, -1)
 }
 
-func (t *Targets) addBrokered(id string, by int) {
-	load := t.own[id]
-	load.Online += by
-	load.Brokered += by
-	t.set(id, load)
+func (t *Targets) addBrokered(broker uint64, id string, by int) {
+	at := brokeredAt{broker, id}
+	if t.brokered[at] += by; t.brokered[at] == 0 {
+		delete(t.brokered, at)
+	}
+	t.count(id, false, by)
 }
 
 // Hold keeps one slot of a target free of batch items until a time, for an
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -41,7 +41,7 @@
 	}
 	assert.Equal(t, map[string]int{"near": 8, "far": 8}, got, "no target is overfilled while another has a slot")
 	targets.Release("near", false)
-	assert.Equal(t, 7, targets.Own()["near"].Online)
+	assert.Equal(t, 7, targets.Own(0)["near"].Online)
 }
 
 func TestWhoIsOutGetsNothing(t *testing.T) {
@@ -124,3 +124,19 @@
 	late, _ := runner.Acquire(start.Add(time.Second), Query{Service: "llm", Batch: true})
 	assert.NotNil(t, late, "holds end")
 }
+
+// What a former broker has placed is not known to the next one, which counts
+// it beside its own grants.
+func TestEachBrokerKnowsItsOwnGrants(t *testing.T) {
+	const former, current = 1, 2
+	targets := New("a")
+	targets.SetRecords([]*roster.Record{record("one", "a")})
+	require.NotNil(t, targets.Assign(former, "one"))
+	require.NotNil(t, targets.Assign(current, "one"))
+	require.NotNil(t, targets.Assign(current, "one"))
+	assert.Equal(t, Load{Online: 3, Brokered: 2}, targets.Own(current)["one"])
+	assert.Equal(t, Load{Online: 1}, targets.Own(current)["one"].Direct())
+	targets.Unassign(former, "one")
+	assert.Equal(t, Load{}, targets.Own(current)["one"].Direct())
+	assert.Nil(t, targets.Assign(current, "two"))
+}
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -50,12 +50,23 @@
 	Learners []uint64 `msgpack:"e,omitempty"`
 }
 
+// Broker returns the number of the broker on a host that leads, or 0. It is
+// another one in each term.
+func (s *StorageState) Broker() uint64 {
+	if !s.Leads {
+		return 0
+	}
+	const idBits = 48
+	return s.ID ^ s.Term<<idBits
+}
+
 // MemberLoad is a member with what it does. Sequence rises with each report.
 type MemberLoad struct {
 	Member   Member                    `msgpack:"m"`
 	Sequence uint64                    `msgpack:"q"`
 	Spent    map[string]uint64         `msgpack:"s,omitempty"` // tokens of each workspace since the start of the process
 	Loads    map[string]placement.Load `msgpack:"l,omitempty"` // requests at each target
+	Broker   uint64                    `msgpack:"b,omitempty"` // that Loads tell the brokered requests of: see StorageState.Broker
 }
 
 // FollowPing tells control about its subscriber.
--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -278,7 +278,7 @@
 	conn.Close()
 	assert.Eventually(t, func() bool {
 		runs := f.runs()
-		return len(runs) == 1 && runs[0].Gone && len(f.follower.Targets.Own()) == 0
+		return len(runs) == 1 && runs[0].Gone && len(f.follower.Targets.Own(0)) == 0
 	}, patience, time.Millisecond)
 }
 
--- a/services/entry/slots.go
+++ b/services/entry/slots.go
@@ -47,7 +47,7 @@
 	full     bool // batch items have to give way, and the broker does not know
 	total    int  // requests at the target, this one included
 	brokered bool
-	broker   uint64
+	broker   rpc.StorageState // that has granted it, as it was then
 	id       rpc.SlotID
 }
 
@@ -91,13 +91,13 @@
 	if outcome.IsCode(err, outcome.TargetBusy) {
 		return nil, outcome.From(err)
 	}
-	got := &slot{brokered: true, broker: hosts[0].ID, id: request.ID, total: grant.Total}
+	got := &slot{brokered: true, broker: hosts[0], id: request.ID, total: grant.Total}
 	if err != nil {
 		s.away.Store(now.Add(brokerPause).UnixNano())
 		s.give(got, "") // the grant may be on its way
 		return nil, nil
 	}
-	if got.target = s.follower.Targets.Assign(grant.Target); got.target == nil {
+	if got.target = s.follower.Targets.Assign(got.broker.Broker(), grant.Target); got.target == nil {
 		s.give(got, "")
 		return nil, nil
 	}
@@ -110,7 +110,7 @@
 		s.follower.Targets.Release(used.target.ID, false)
 		return
 	}
-	s.follower.Targets.Unassign(used.target.ID)
+	s.follower.Targets.Unassign(used.broker.Broker(), used.target.ID)
 	target := ""
 	if failed {
 		target = used.target.ID
@@ -122,7 +122,7 @@
 // deadline of its request.
 func (s *slots) give(used *slot, failed string) {
 	select {
-	case s.released <- release{broker: used.broker, id: used.id, failed: failed}:
+	case s.released <- release{broker: used.broker.ID, id: used.id, failed: failed}:
 	default:
 	}
 }
--- a/services/follow/feed.go
+++ b/services/follow/feed.go
@@ -100,7 +100,7 @@
 			pause.For(ctx, nudgePause)
 		}
 		timer.Reset(reportInterval)
-		own := f.reported()
+		own := f.reported(f.broker())
 		if maps.Equal(own, before) && time.Since(sent) < reportIdle {
 			continue
 		}
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -38,7 +38,7 @@
 type Config struct {
 	Member  rpc.Member                                   // Store is filled in by Storage
 	Storage func() *rpc.StorageState                     // nil unless this is a storage host
-	Brokers func() bool                                  // this process knows what it has placed for others; nil: no
+	Broker  func() uint64                                // number of the broker in this process, 0: none; nil: never
 	Seeds   []string                                     // wire addresses of control hosts
 	Decode  func(body []byte) (*routing.Document, error) // the canonical encoding of a document
 	TLS     *tls.Config
@@ -175,19 +175,29 @@
 	if f.cfg.Storage != nil {
 		member.Store = f.cfg.Storage()
 	}
+	broker := f.broker()
 	return rpc.MemberLoad{
 		Member:   member,
 		Sequence: f.sequence.Add(1),
 		Spent:    f.Buckets.Spent(),
-		Loads:    f.reported(),
+		Loads:    f.reported(broker),
+		Broker:   broker,
 	}
 }
 
+// broker returns the number of the broker that this process asks, or 0.
+func (f *Follower) broker() uint64 {
+	if hosts := f.Stores(); len(hosts) > 0 {
+		return hosts[0].Broker()
+	}
+	return 0
+}
+
 // reported returns what this process has at each target. A broker leaves out
 // what it has placed for others, as they report that themselves.
-func (f *Follower) reported() map[string]placement.Load {
-	own := f.Targets.Own()
-	if f.cfg.Brokers == nil {
+func (f *Follower) reported(broker uint64) map[string]placement.Load {
+	own := f.Targets.Own(broker)
+	if f.cfg.Broker == nil {
 		return own
 	}
 	batch := make(map[string]placement.Load)
@@ -289,14 +299,17 @@
 func (f *Follower) sumLoads(now time.Time) {
 	sum := make(map[string]placement.Load)
 	processes := 1
-	brokers := f.cfg.Brokers != nil && f.cfg.Brokers()
+	broker := uint64(0)
+	if f.cfg.Broker != nil {
+		broker = f.cfg.Broker()
+	}
 	for name, m := range f.members {
 		if name == f.cfg.Member.Name || now.Sub(m.heard) > memberSilence {
 			continue
 		}
 		processes++
 		for id, load := range m.load.Loads {
-			if brokers {
+			if broker != 0 && m.load.Broker == broker {
 				load = load.Direct()
 			}
 			total := sum[id]
--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// settleTime is how long a new broker counts what gateways report, until
-	// the requests placed before it have ended or are known.
-	settleTime = 3 * time.Second
 	// grantMargin is added to a request's deadline, after which its slot counts
 	// as free even if no release has come.
 	grantMargin = 500 * time.Millisecond
@@ -42,7 +39,7 @@
 	server  *Server
 	targets *placement.Targets
 	runner  *runner
-	since   atomic.Int64 // when this host began to lead, Unix nanoseconds; 0: it does not lead
+	number  atomic.Uint64 // of this broker; 0: this host does not lead
 	granted metrics.Counter
 	refused metrics.Counter
 
@@ -67,28 +64,19 @@
 	}
 }
 
-// lead begins or ends the work of the broker.
-func (b *broker) lead(leads bool, now time.Time) {
+// lead begins the work of the broker under a number, or ends it with 0.
+func (b *broker) lead(number uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id := range b.grants {
 		b.drop(id)
 	}
-	b.since.Store(0)
-	if leads {
-		b.since.Store(now.UnixNano())
-	}
-}
-
-// settled reports whether this host knows of all brokered requests.
-func (b *broker) settled() bool {
-	since := b.since.Load()
-	return since != 0 && time.Since(time.Unix(0, since)) > settleTime
+	b.number.Store(number)
 }
 
 // acquire places one request.
 func (b *broker) acquire(_ context.Context, r *rpc.SlotRequest) (*rpc.SlotGrant, error) {
-	if b.since.Load() == 0 {
+	if b.number.Load() == 0 {
 		return nil, notLeader()
 	}
 	query := placement.Query{Service: r.Service, DataCentre: r.DataCentre, MaxQueue: maxQueue, Exclude: make(map[string]bool, len(r.Exclude))}
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -55,14 +55,13 @@
 
 // Server is one storage host.
 type Server struct {
-	cfg     Config
-	log     *telemetry.Log
-	wire    *wire.Server
-	state   *jobsState
-	group   atomic.Pointer[replicated.Group[jobs.Answer]]
-	runner  *runner
-	broker  *broker
-	brokers atomic.Bool // the broker knows of all requests that it has placed
+	cfg    Config
+	log    *telemetry.Log
+	wire   *wire.Server
+	state  *jobsState
+	group  atomic.Pointer[replicated.Group[jobs.Answer]]
+	runner *runner
+	broker *broker
 }
 
 // New returns a storage host that Run opens.
@@ -78,8 +77,14 @@
 // SetFollower gives the host its view of the site, before Run.
 func (s *Server) SetFollower(f *follow.Follower) { s.cfg.Follower = f }
 
-// Brokers reports whether this host knows what it has placed for the gateways.
-func (s *Server) Brokers() bool { return s.brokers.Load() }
+// Broker returns the number of the broker on this host, or 0 when it does not
+// lead.
+func (s *Server) Broker() uint64 {
+	if s.group.Load() == nil {
+		return 0
+	}
+	return s.broker.number.Load()
+}
 
 // Storage returns the state of this host for the others.
 func (s *Server) Storage() *rpc.StorageState {
@@ -209,7 +214,6 @@
 			s.cfg.Follower.Nudge()
 		case <-ticker.C:
 		}
-		s.brokers.Store(s.broker.settled())
 		var retired []uint64
 		for _, r := range s.cfg.Follower.Catalog().Retired {
 			retired = append(retired, r.Host)
--- a/services/jobhost/runner.go
+++ b/services/jobhost/runner.go
@@ -107,7 +107,7 @@
 		if leads := r.group.Replica().Status().IsLeader; leads != leading {
 			leading = leads
 			r.log.Info("runner_leads", "leads", leads)
-			r.server.broker.lead(leads, time.Now())
+			r.server.broker.lead(r.server.Storage().Broker())
 			if !leads {
 				r.stopAll()
 			}
