Know storage hosts by the name of their machine, also while they are silent

Change: members bear the machine's name; names of storage hosts are kept for ten minutes; a control host that has just started denies no name.

--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -89,7 +89,7 @@
 // Follower returns the view of a process with the given role.
 func (p *Process) Follower(role string, storage func() *rpc.StorageState, broker func() uint64) *follow.Follower {
 	return follow.New(follow.Config{
-		Member:  rpc.Member{Name: p.Settings.Host + "/" + role, Role: role, DataCentre: p.Settings.DataCentre},
+		Member:  rpc.Member{Name: p.Settings.Host, Role: role, DataCentre: p.Settings.DataCentre},
 		Storage: storage,
 		Broker:  broker,
 		Seeds:   p.Settings.ControlSeeds,
--- a/services/director/board.go
+++ b/services/director/board.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"banyanwalk/core/catalog"
 	"banyanwalk/core/roster"
 	"banyanwalk/infra/rpc"
 )
@@ -14,6 +15,9 @@
 	targetSilence = 20 * time.Second
 	// memberSilence is the same for processes of the site.
 	memberSilence = 5 * time.Second
+	// storeMemory is how long the name of a silent storage host is known, so
+	// that it can be retired while it is down.
+	storeMemory = 10 * time.Minute
 )
 
 // board is what this host has heard of targets and members. It is not
@@ -110,7 +114,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, m := range b.members {
-		if now.Sub(m.heard) > memberSilence {
+		keep := memberSilence
+		if m.load.Member.Store != nil {
+			keep = storeMemory
+		}
+		if now.Sub(m.heard) > keep {
 			delete(b.members, name)
 		}
 	}
@@ -148,6 +156,23 @@
 	return b.urgent
 }
 
+// without returns how many storage hosts would be left without the one of a
+// name, and the replica id of that one, or 0 when it is not known. Hosts that
+// are silent, or retired as well, are not left.
+func (b *board) without(now time.Time, name string, state *catalog.State) (left int, id uint64) {
+	for _, m := range b.stores(now, storeMemory) {
+		if m.Name == name {
+			id = m.Store.ID
+		}
+	}
+	for _, m := range b.stores(now, memberSilence) {
+		if _, retired := state.Retirement(m.Name); !retired && m.Name != name {
+			left++
+		}
+	}
+	return left, id
+}
+
 // stores returns the storage hosts heard within the given time.
 func (b *board) stores(now time.Time, within time.Duration) []rpc.Member {
 	b.mu.Lock()
--- a/services/director/director.go
+++ b/services/director/director.go
@@ -58,15 +58,17 @@
 	board   *board
 	reports map[roster.Verdict]metrics.Counter
 	founder founder
+	started time.Time
 }
 
 // New opens the catalog's replica of this host.
 func New(cfg Config) (*Server, error) {
 	s := &Server{
-		cfg:   cfg,
-		log:   cfg.Log,
-		wire:  wire.NewServer(cfg.Log, cfg.ServerTLS),
-		board: newBoard(),
+		cfg:     cfg,
+		log:     cfg.Log,
+		wire:    wire.NewServer(cfg.Log, cfg.ServerTLS),
+		board:   newBoard(),
+		started: time.Now(),
 		reports: map[roster.Verdict]metrics.Counter{
 			roster.Stale:   metrics.GetOrRegisterCounter("director.reports.stale", cfg.Metrics),
 			roster.Renewed: metrics.GetOrRegisterCounter("director.reports.renewed", cfg.Metrics),
--- a/services/director/storage.go
+++ b/services/director/storage.go
@@ -100,18 +100,11 @@
 		return nil
 	}
 	now := time.Now()
-	left, id := 0, uint64(0)
-	for _, m := range s.board.stores(now, memberSilence) {
-		_, retired := s.state.state().Retirement(m.Name)
-		switch {
-		case m.Name == name:
-			id = m.Store.ID
-		case !retired:
-			left++
-		}
-	}
+	left, id := s.board.without(now, name, s.state.state())
 	var err error
 	switch {
+	case id == 0 && now.Sub(s.started) < memberSilence:
+		err = outcome.New(outcome.NoQuorum, outcome.NotRun, "this host has just started and may not know %q yet", name)
 	case id == 0:
 		err = outcome.New(outcome.UnknownName, outcome.NotRun, "no storage host %q", name)
 	case left < s.cfg.Voters:
