Batch items that give way do not count against online requests

Cause (found by a test of the job host): four online requests that came to a target full of batch items were refused in part, since the items that had been told to yield still counted until their connections had ended. Change: the places that may wait beyond the slots are counted by online requests alone. Tests of the job host with stand-in targets: items once and whole, broken and torn streams, 422 and 500, ended jobs, routes that are gone, yielding, refusing, lapsed grants.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -141,7 +141,7 @@
 type Query struct {
 	Service         string
 	DataCentre      string  // whose targets go first; empty: those of this process
-	MaxQueue        int     // requests that may wait at a target beyond its slots; 0: any number
+	MaxQueue        int     // online requests that may wait at a target beyond its slots; 0: any number
 	WarmupPerSecond float64 // requests that one cold target bears
 	Batch           bool
 	Spare           int             // slots that are to stay free, for batch
@@ -237,7 +237,7 @@
 		if q.Batch && t.total(r.ID)+t.held(now, r.ID)+q.Spare >= slotsOf(r) {
 			continue
 		}
-		if q.MaxQueue > 0 && t.total(r.ID) >= slotsOf(r)+q.MaxQueue {
+		if q.MaxQueue > 0 && t.online(r.ID) >= slotsOf(r)+q.MaxQueue {
 			continue
 		}
 		if r.DataCentre != home {
@@ -258,8 +258,7 @@
 	if total < slots {
 		return float64(total) / float64(slots)
 	}
-	online := t.own[r.ID].Online + t.others[r.ID].Online
-	return 1 + float64(online)/float64(slots)
+	return 1 + float64(t.online(r.ID))/float64(slots)
 }
 
 // Total returns the requests at a target, as far as this process knows.
@@ -274,6 +273,11 @@
 	return own.Online + own.Batch + others.Online + others.Batch
 }
 
+// online returns the online requests at a target. Batch items give way to them.
+func (t *Targets) online(id string) int {
+	return t.own[id].Online + t.others[id].Online
+}
+
 func slotsOf(r *roster.Record) int {
 	if r.Slots > 0 {
 		return r.Slots
--- /dev/null
+++ b/services/jobhost/jobhost_test.go
@@ -0,0 +1,279 @@
+package jobhost
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"banyanwalk/core/catalog"
+	"banyanwalk/core/jobs"
+	"banyanwalk/core/outcome"
+	"banyanwalk/core/roster"
+	"banyanwalk/core/routing"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/services/follow"
+	"banyanwalk/services/replicated"
+	"banyanwalk/services/standin"
+	"banyanwalk/services/targetcall"
+)
+
+const (
+	patience = 30 * time.Second // liveness only
+	slots    = 4                // of each target
+)
+
+var dialect = targetcall.Dialect{
+	RequestID: "X-Id", Deadline: "X-Deadline", Expect: "X-Expect", Workspace: "X-Workspace", LastEventID: "Last-Event-Id",
+	NotRun: "X-Not-Run", Signature: "X-Signature",
+}
+
+func document(prefix string) *routing.Document {
+	return &routing.Document{
+		Version:  1,
+		Services: []routing.Service{{Name: "llm", Slots: slots}},
+		Routes: []routing.Route{{Name: "lots", Host: "h", Prefix: prefix, Kind: routing.Batch, Timeout: time.Second,
+			Shares: []routing.Share{{Service: "llm", Weight: 1}}}},
+	}
+}
+
+// fixture is a storage host that is a group of its own, with stand-in targets.
+type fixture struct {
+	t        *testing.T
+	host     *Server
+	follower *follow.Follower
+	targets  []*standin.Target
+	prefix   string
+	revision uint64
+}
+
+func newFixture(t *testing.T, behaviours ...standin.Behaviour) *fixture {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	id, err := replicated.ID(addr)
+	require.NoError(t, err)
+	f := &fixture{t: t, prefix: "/lots/"}
+	f.host = New(Config{Name: "s1", Addr: addr, Founder: true, Voters: 1, DataDir: t.TempDir(), Dialect: dialect,
+		Log: telemetry.Discard(), Metrics: metrics.NewRegistry()})
+	f.follower = follow.New(follow.Config{
+		Member: rpc.Member{Name: "s1", Role: rpc.RoleStore}, Storage: f.host.Storage, Broker: f.host.Broker,
+		Decode: func([]byte) (*routing.Document, error) { return document(f.prefix), nil }, Log: telemetry.Discard(),
+	})
+	f.host.SetFollower(f.follower)
+	push := &rpc.FollowPush{}
+	for i, b := range behaviours {
+		target, err := standin.NewTarget(fmt.Sprintf("t%d", i), dialect, b)
+		require.NoError(t, err)
+		t.Cleanup(target.Close)
+		f.targets = append(f.targets, target)
+		push.Targets = append(push.Targets, rpc.TargetReport{Report: roster.Report{
+			ID: target.ID, Born: 1, Sequence: 1, Service: "llm", Addr: target.Addr, Slots: slots, State: roster.Ready,
+		}})
+	}
+	f.follower.Take(time.Now(), "test", push)
+	f.catalog(id)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { assert.NoError(t, f.host.Run(ctx, l)) })
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	require.Eventually(t, func() bool { return f.host.Broker() != 0 }, patience, time.Millisecond)
+	return f
+}
+
+// catalog puts the document in force.
+func (f *fixture) catalog(founder uint64) {
+	f.revision++
+	f.follower.Take(time.Now(), "test", &rpc.FollowPush{Catalog: &catalog.State{
+		Revision: f.revision, Version: f.revision, Founders: []uint64{founder},
+	}})
+}
+
+func (f *fixture) submit(id string, items int) error {
+	spec := &jobs.Spec{ID: id, Workspace: "w", Route: "lots", Host: "h", CompletionMS: 60_000, MaxWaitMS: 60_000, MaxAttempts: 2}
+	for i := range items {
+		spec.Items = append(spec.Items, jobs.Item{
+			ID: fmt.Sprintf("%s-%d", id, i), Path: fmt.Sprintf("/lots/%d", i), Body: []byte("body"), Tokens: 100,
+			Headers: []jobs.Header{{Name: "X-Model", Value: "m"}, {Name: "X-Workspace", Value: "forged"}},
+		})
+	}
+	_, err := f.host.submit(f.t.Context(), spec)
+	return err
+}
+
+// results reads all results of a job once it has so many.
+func (f *fixture) results(id string, count int) []rpc.JobResult {
+	f.t.Helper()
+	var all []rpc.JobResult
+	require.Eventually(f.t, func() bool {
+		found, err := f.host.readResults(f.t.Context(), &rpc.JobRead{Workspace: "w", Job: id, WaitMS: 100})
+		require.NoError(f.t, err)
+		all = found.Results
+		return len(all) >= count
+	}, patience, time.Millisecond)
+	return all
+}
+
+func (f *fixture) runs() []standin.Run {
+	var all []standin.Run
+	for _, target := range f.targets {
+		all = append(all, target.Runs()...)
+	}
+	return all
+}
+
+func text(id string, events int64) string {
+	var data []string
+	for n := int64(1); n <= events; n++ {
+		data = append(data, standin.EventData(id, n))
+	}
+	return strings.Join(data, "\n")
+}
+
+func TestItemsRunOnceAndWhole(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Events: 30}, standin.Behaviour{Events: 30})
+	require.NoError(t, f.submit("j", 20))
+	require.NoError(t, f.submit("j", 20), "a resend")
+	results := f.results("j", 20)
+	require.Len(t, results, 20)
+	seen := map[string]bool{}
+	for _, r := range results {
+		assert.Equal(t, jobs.Completed, r.State)
+		assert.Equal(t, text(r.Item, 30), r.Text)
+		seen[r.Item] = true
+	}
+	assert.Len(t, seen, 20)
+	runs := f.runs()
+	assert.Len(t, runs, 20)
+	assert.Equal(t, "w", runs[0].Workspace)
+	assert.Equal(t, "h", runs[0].Host)
+	assert.Equal(t, "m", runs[0].Header.Get("X-Model"))
+	assert.Equal(t, "body", runs[0].Body)
+	again := f.results("j", 20)
+	assert.Equal(t, results, again, "positions never change")
+}
+
+func TestABrokenItemGoesOnAfterItsLastEvent(t *testing.T) {
+	for _, torn := range []bool{false, true} {
+		f := newFixture(t, standin.Behaviour{Events: 30, BreakAfter: 12, Torn: torn})
+		require.NoError(t, f.submit("j", 1))
+		results := f.results("j", 1)
+		assert.Equal(t, text("j-0", 30), results[0].Text)
+		runs := f.runs()
+		require.Len(t, runs, 3)
+		assert.Equal(t, int64(24), runs[2].From)
+	}
+}
+
+func TestItemsThatCannotBeDone(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Status: http.StatusUnprocessableEntity})
+	require.NoError(t, f.submit("never", 1))
+	assert.Equal(t, jobs.Abandoned, f.results("never", 1)[0].State)
+	assert.Len(t, f.runs(), 1)
+	f.targets[0].Set(func(string) standin.Behaviour { return standin.Behaviour{Status: http.StatusInternalServerError} })
+	require.NoError(t, f.submit("failing", 1))
+	assert.Equal(t, jobs.Abandoned, f.results("failing", 1)[0].State)
+	assert.Len(t, f.runs(), 3, "two attempts, as its job says")
+}
+
+func TestAnEndedJobStops(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Events: 1_000_000, Pause: 5 * time.Millisecond})
+	require.NoError(t, f.submit("j", 2*slots))
+	require.Eventually(t, func() bool { return len(f.runs()) > 0 }, patience, time.Millisecond)
+	body, err := f.host.readBody(t.Context(), &rpc.JobBody{Workspace: "w", Job: "j", Item: "j-0"})
+	require.NoError(t, err)
+	assert.Equal(t, "body", string(body.Body))
+	_, err = f.host.end(t.Context(), &jobs.EndJob{Job: "j", Workspace: "w"})
+	require.NoError(t, err)
+	assert.Eventually(t, func() bool {
+		for _, r := range f.runs() {
+			if !r.Gone {
+				return false
+			}
+		}
+		return len(f.follower.Targets.Own(0)) == 0
+	}, patience, time.Millisecond)
+	_, err = f.host.readBody(t.Context(), &rpc.JobBody{Workspace: "w", Job: "j", Item: "j-0"})
+	assert.True(t, outcome.IsCode(err, outcome.JobNotFound))
+}
+
+func TestAnItemWhoseRouteIsGoneIsGivenUp(t *testing.T) {
+	f := newFixture(t) // no target yet
+	require.NoError(t, f.submit("j", 1))
+	f.prefix = "/elsewhere/"
+	f.catalog(1)
+	assert.Equal(t, jobs.Abandoned, f.results("j", 1)[0].State)
+}
+
+func TestJobsOfOthersAreNotFound(t *testing.T) {
+	f := newFixture(t)
+	require.NoError(t, f.submit("j", 1))
+	for _, read := range []*rpc.JobRead{{Workspace: "other", Job: "j"}, {Workspace: "w", Job: "none"}} {
+		_, err := f.host.readResults(t.Context(), read)
+		assert.True(t, outcome.IsCode(err, outcome.JobNotFound), err)
+	}
+}
+
+// Online requests come to a target that is full of batch items: each gets a
+// place at once, an item yields and goes on later without losing an event.
+func TestItemsYieldToOnlineRequests(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Events: 60, Pause: 5 * time.Millisecond})
+	require.NoError(t, f.submit("j", slots))
+	require.Eventually(t, func() bool { return len(f.runs()) == slots-spareSlots }, patience, time.Millisecond)
+	for n := range uint64(slots) {
+		grant, err := f.host.broker.acquire(t.Context(), &rpc.SlotRequest{ID: rpc.SlotID{Process: 1, Number: n}, Service: "llm", LeftMS: 60_000})
+		require.NoError(t, err)
+		assert.Equal(t, "t0", grant.Target)
+	}
+	require.Eventually(t, func() bool { return f.follower.Targets.Own(0)["t0"].Batch == 0 }, patience, time.Millisecond)
+	var ids []rpc.SlotID
+	for n := range uint64(slots) {
+		ids = append(ids, rpc.SlotID{Process: 1, Number: n})
+	}
+	_, err := f.host.broker.release(t.Context(), &rpc.SlotRelease{IDs: append(ids, ids...)})
+	require.NoError(t, err)
+	for _, r := range f.results("j", slots) {
+		assert.Equal(t, text(r.Item, 60), r.Text)
+	}
+	assert.Empty(t, f.follower.Targets.Own(0), "each slot is free once")
+}
+
+func TestABrokerRefusesWhatWouldWaitTooLong(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Events: 1})
+	acquire := func(n uint64, returning bool) error {
+		_, err := f.host.broker.acquire(t.Context(), &rpc.SlotRequest{ID: rpc.SlotID{Process: 1, Number: n}, Service: "llm", LeftMS: 60_000, Returning: returning})
+		return err
+	}
+	for n := range uint64(slots + maxQueue) {
+		require.NoError(t, acquire(n, false))
+	}
+	refused := acquire(99, false)
+	require.True(t, outcome.IsCode(refused, outcome.TargetBusy))
+	assert.Positive(t, outcome.From(refused).RetryAfter)
+	assert.NoError(t, acquire(100, true), "who comes back goes first")
+	assert.True(t, outcome.IsCode(acquire(101, false), outcome.TargetBusy))
+}
+
+func TestGrantsLapse(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Events: 1})
+	_, err := f.host.broker.acquire(t.Context(), &rpc.SlotRequest{ID: rpc.SlotID{Process: 1, Number: 1}, Service: "llm", LeftMS: 100})
+	require.NoError(t, err)
+	f.host.broker.mu.Lock()
+	f.host.broker.sweep(time.Now())
+	assert.Len(t, f.host.broker.grants, 1)
+	f.host.broker.sweep(time.Now().Add(time.Minute))
+	f.host.broker.mu.Unlock()
+	assert.Empty(t, f.follower.Targets.Own(0))
+}
