--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, run and test banyanwalk.
-MODULES := core infra services cmd tests
+MODULES := core infra services platform cmd tests
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := $(shell go env GOPATH)/bin/golangci-lint
 
