Limits: small bursts are not refused while their tokens change hands

The draw of the test had been narrowed to 50 ms instead. Ruled out: keeping the draw narrow. Change: Grace 100 -> 200 ms; the draw is back at 20 ms and the seed is a test.

--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -60,54 +61,65 @@
 // strictRoundTrip is the burst, in seconds of the rate, below which tokens
 // cannot be handed round between gateways as fast as they come due: each is
 // given out again only after its spending was reported.
-const strictRoundTrip = 0.05
+const strictRoundTrip = 0.02
 
 // A workspace inside its rate and burst is never refused, however its requests
 // spread over the gateways, while another sends ten times its rate and the
 // owner changes.
 func TestNoWrongfulRefusals(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		rates := map[string]Rate{"good": drawRate(t, "good"), "flood": drawRate(t, "flood")}
-		good := rates["good"]
-		good.Burst += int(good.PerSecond * strictRoundTrip)
-		rates["good"] = good
-		gateways := rapid.IntRange(1, 4).Draw(t, "gateways")
-		s := newSim(t, gateways, rates)
-		start, end := 500*ms, 4*int64(time.Second)
-		arrivals := conforming(s, rates["good"], start, end)
-		joins, leaves := comeAndGo(s, start, end)
-		for _, at := range arrivals {
-			g := s.gateways[s.int(0, int64(len(s.gateways)-1))]
-			if (g == joins.gateway && at < joins.at) || (g == leaves.gateway && at > leaves.at-quietBeforeLeaving) {
-				g = s.gateways[0]
-			}
-			s.at(at, func() { g.arrive("good") })
-		}
-		gap := int64(float64(time.Second) / (10 * rates["flood"].PerSecond))
-		sent := 0
-		for at := start; at < end; at += max(gap, ms/2) {
-			g := s.gateways[sent%gateways]
-			sent++
-			s.at(at, func() { g.arrive("flood") })
-		}
-		switch rapid.IntRange(0, 2).Draw(t, "ownerChanges") {
-		case 1:
-			s.at(s.int(1000, 2500)*ms, func() { s.changeOwner(s.int(1, 1200) * ms) })
-		case 2:
-			s.at(s.int(1000, 1500)*ms, func() { s.changeOwner(s.int(1, 500) * ms) })
-			s.at(s.int(2000, 3000)*ms, func() { s.changeOwner(s.int(1, 500) * ms) })
-		}
-		s.run(end + int64(MaxWait) + int64(time.Second)/2)
-		require.Zero(t, s.refused["good"], "refused")
-		require.Zero(t, s.expired["good"], "waited in vain")
-		require.Len(t, s.admitted["good"], len(arrivals))
-		for name, rate := range rates {
-			require.Empty(t, overspent(s.admitted[name], rate), name)
-		}
-		if sent > 10*(rates["flood"].Burst+int(4*rates["flood"].PerSecond)) {
-			require.Positive(t, s.refused["flood"])
+	rapid.Check(t, checkNoWrongfulRefusals)
+}
+
+// The grace was once shorter than a token takes between the gateways of a
+// workspace with a small burst.
+func TestNoWrongfulRefusalsOfSmallBursts(t *testing.T) {
+	former := flag.Lookup("rapid.seed").Value.String()
+	require.NoError(t, flag.Set("rapid.seed", "366017"))
+	defer func() { require.NoError(t, flag.Set("rapid.seed", former)) }()
+	rapid.Check(t, checkNoWrongfulRefusals)
+}
+
+func checkNoWrongfulRefusals(t *rapid.T) {
+	rates := map[string]Rate{"good": drawRate(t, "good"), "flood": drawRate(t, "flood")}
+	good := rates["good"]
+	good.Burst += int(good.PerSecond * strictRoundTrip)
+	rates["good"] = good
+	gateways := rapid.IntRange(1, 4).Draw(t, "gateways")
+	s := newSim(t, gateways, rates)
+	start, end := 500*ms, 4*int64(time.Second)
+	arrivals := conforming(s, rates["good"], start, end)
+	joins, leaves := comeAndGo(s, start, end)
+	for _, at := range arrivals {
+		g := s.gateways[s.int(0, int64(len(s.gateways)-1))]
+		if (g == joins.gateway && at < joins.at) || (g == leaves.gateway && at > leaves.at-quietBeforeLeaving) {
+			g = s.gateways[0]
 		}
-	})
+		s.at(at, func() { g.arrive("good") })
+	}
+	gap := int64(float64(time.Second) / (10 * rates["flood"].PerSecond))
+	sent := 0
+	for at := start; at < end; at += max(gap, ms/2) {
+		g := s.gateways[sent%gateways]
+		sent++
+		s.at(at, func() { g.arrive("flood") })
+	}
+	switch rapid.IntRange(0, 2).Draw(t, "ownerChanges") {
+	case 1:
+		s.at(s.int(1000, 2500)*ms, func() { s.changeOwner(s.int(1, 1200) * ms) })
+	case 2:
+		s.at(s.int(1000, 1500)*ms, func() { s.changeOwner(s.int(1, 500) * ms) })
+		s.at(s.int(2000, 3000)*ms, func() { s.changeOwner(s.int(1, 500) * ms) })
+	}
+	s.run(end + int64(MaxWait) + int64(time.Second)/2)
+	require.Zero(t, s.refused["good"], "refused")
+	require.Zero(t, s.expired["good"], "waited in vain")
+	require.Len(t, s.admitted["good"], len(arrivals))
+	for name, rate := range rates {
+		require.Empty(t, overspent(s.admitted[name], rate), name)
+	}
+	if sent > 10*(rates["flood"].Burst+int(4*rates["flood"].PerSecond)) {
+		require.Positive(t, s.refused["flood"])
+	}
 }
 
 // quietBeforeLeaving is how long a gateway gets no requests before it leaves.
--- a/core/limit/waiting.go
+++ b/core/limit/waiting.go
@@ -6,7 +6,7 @@
 	// Grace is how long a request waits for a token that is due soon, although
 	// the owner has none now. It exceeds the age that the owner's knowledge of
 	// spending has, so that no request within its rate and burst is refused.
-	Grace = 100 * time.Millisecond
+	Grace = 200 * time.Millisecond
 	// stallMemory is how long the backlog of a change of owner may last.
 	stallMemory = 30 * time.Second
 	// pendingMemory is how long after its token is due a gateway that waits for
