Log how far batch items have come

Ruled out: smaller items, which the callers choose. Change: once a second the leader logs what each item has gained; a new leader resumes there. 80 KB/s at the sites' rates.

--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -59,6 +59,15 @@
 	Ended    bool     `msgpack:"e"` // by its caller: open items are dropped
 	Listed   []bool   `msgpack:"l"` // by item
 	Failures []int    `msgpack:"f"` // failed attempts by item
+
+	Partial map[int]Partial `msgpack:"p,omitempty"` // of open items that have begun
+}
+
+// Partial is how far an item has come, so that a new leader need not run it
+// from the start.
+type Partial struct {
+	Text string `msgpack:"t"`
+	Last int64  `msgpack:"l"` // id of the last event in Text
 }
 
 // Open reports whether an item is still to be run.
@@ -86,6 +95,7 @@
 	Submit *Spec      `msgpack:"s,omitempty"`
 	Finish []Finished `msgpack:"f,omitempty"`
 	Failed []ItemRef  `msgpack:"x,omitempty"`
+	Save   []Progress `msgpack:"p,omitempty"`
 	End    *EndJob    `msgpack:"e,omitempty"`
 	Drop   []string   `msgpack:"d,omitempty"` // ids of jobs that need not be kept any more
 }
@@ -103,6 +113,14 @@
 	Text  string `msgpack:"t"`
 }
 
+// Progress is what an item has gained since an event.
+type Progress struct {
+	ItemRef
+	From int64  `msgpack:"a"` // id of the event that Text follows; 0: the start
+	Last int64  `msgpack:"l"` // id of the last event in Text
+	Text string `msgpack:"t"` // with its leading line feed, unless From is 0
+}
+
 // EndJob ends a job on behalf of its workspace.
 type EndJob struct {
 	Job       string `msgpack:"j"`
@@ -146,6 +164,8 @@
 		m.finish(c.Finish)
 	case len(c.Failed) > 0:
 		m.fail(c.Failed)
+	case len(c.Save) > 0:
+		m.save(c.Save)
 	case c.End != nil:
 		return m.end(c.End)
 	case len(c.Drop) > 0:
@@ -202,6 +222,7 @@
 			continue
 		}
 		job.Listed[f.Item] = true
+		delete(job.Partial, f.Item)
 		job.Items[f.Item].Body = nil
 		job.Results = append(job.Results, Result{Item: f.Item, State: f.State, Text: f.Text})
 	}
@@ -215,6 +236,25 @@
 	}
 }
 
+// save keeps what items have gained. A part that does not follow what is kept
+// comes from another run and is dropped.
+func (m *Machine) save(parts []Progress) {
+	for _, p := range parts {
+		job := m.jobs[p.Job]
+		if job == nil || p.Item < 0 || p.Item >= len(job.Items) || !job.Open(p.Item) {
+			continue
+		}
+		kept := job.Partial[p.Item]
+		if kept.Last != p.From {
+			continue
+		}
+		if job.Partial == nil {
+			job.Partial = make(map[int]Partial)
+		}
+		job.Partial[p.Item] = Partial{Text: kept.Text + p.Text, Last: p.Last}
+	}
+}
+
 func (m *Machine) end(e *EndJob) Answer {
 	job := m.jobs[e.Job]
 	if job == nil || job.Workspace != e.Workspace {
@@ -222,6 +262,7 @@
 	}
 	if !job.Ended {
 		job.Ended = true
+		job.Partial = nil
 		for i := range job.Items {
 			job.Items[i].Body = nil
 		}
--- a/core/jobs/jobs_test.go
+++ b/core/jobs/jobs_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"maps"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -96,13 +97,16 @@
 
 func draw(t *rapid.T) Command {
 	id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
-	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
 	case 0, 1:
 		return Command{Submit: spec(id, "w", 3)}
 	case 2:
 		return done(id, rapid.IntRange(0, 2).Draw(t, "item"), "text")
 	case 3:
 		return Command{Failed: []ItemRef{{Job: id, Item: 1}}}
+	case 4:
+		from := rapid.Int64Range(0, 2).Draw(t, "from")
+		return Command{Save: []Progress{{ItemRef: ItemRef{Job: id, Item: 2}, From: from, Last: from + 1, Text: "x"}}}
 	default:
 		return Command{End: &EndJob{Job: id, Workspace: "w"}}
 	}
@@ -116,7 +120,25 @@
 		dup.Listed = append([]bool(nil), job.Listed...)
 		dup.Failures = append([]int(nil), job.Failures...)
 		dup.Results = append([]Result(nil), job.Results...)
+		dup.Partial = maps.Clone(job.Partial)
 		out.Jobs = append(out.Jobs, &dup)
 	}
 	return out
 }
+
+func TestProgressIsKeptInOrder(t *testing.T) {
+	m := NewMachine()
+	m.Apply(Command{Submit: spec("j", "w", 2)})
+	save := func(from, last int64, text string) {
+		m.Apply(Command{Save: []Progress{{ItemRef: ItemRef{Job: "j", Item: 1}, From: from, Last: last, Text: text}}})
+	}
+	save(0, 3, "a\nb\nc")
+	save(0, 2, "of another run")
+	save(5, 6, "with a gap")
+	save(3, 4, "\nd")
+	assert.Equal(t, Partial{Text: "a\nb\nc\nd", Last: 4}, m.Job("j").Partial[1])
+	m.Apply(done("j", 1, "a\nb\nc\nd\ne"))
+	assert.Empty(t, m.Job("j").Partial)
+	save(0, 1, "late")
+	assert.Empty(t, m.Job("j").Partial)
+}
--- a/services/jobhost/results.go
+++ b/services/jobhost/results.go
@@ -30,6 +30,7 @@
 	finished map[jobs.ItemRef]jobs.Finished // not committed yet
 	order    []jobs.ItemRef
 	failures []jobs.ItemRef
+	parts    []jobs.Progress
 	wake     chan struct{}
 }
 
@@ -60,6 +61,14 @@
 	l.notify()
 }
 
+// save queues how far an item has come.
+func (l *resultLog) save(part jobs.Progress) {
+	l.mu.Lock()
+	l.parts = append(l.parts, part)
+	l.mu.Unlock()
+	l.notify()
+}
+
 func (l *resultLog) notify() {
 	select {
 	case l.wake <- struct{}{}:
@@ -86,6 +95,7 @@
 		pause.For(ctx, resultPause)
 		for l.commitFailures(ctx) || l.commitFinished(ctx) {
 		}
+		l.commitParts(ctx)
 	}
 }
 
@@ -140,6 +150,21 @@
 	return true
 }
 
+// commitParts saves how far items have come. What is lost is not repeated: the
+// parts that follow are then dropped, and a new leader goes back further.
+func (l *resultLog) commitParts(ctx context.Context) {
+	l.mu.Lock()
+	parts := l.parts
+	l.parts = nil
+	l.mu.Unlock()
+	if len(parts) == 0 {
+		return
+	}
+	if err := l.execute(ctx, jobs.Command{Save: parts}); err != nil {
+		l.log.Warn("progress_lost", "items", len(parts), "error", err)
+	}
+}
+
 func (l *resultLog) execute(ctx context.Context, c jobs.Command) error {
 	bounded, cancel := context.WithTimeout(ctx, resultTimeout)
 	defer cancel()
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -44,7 +44,7 @@
 func (u *run) execute(ctx context.Context) {
 	defer u.cancel(nil)
 	r := u.runner
-	from := u.progress.last
+	from := u.progress.end()
 	u.request.LastEventID = from
 	if from > 0 {
 		r.resumed.Inc(1)
@@ -52,13 +52,13 @@
 	status, err := u.exchange(ctx)
 	cause := context.Cause(ctx)
 	r.log.Info("item_ran", "job", u.ref.Job, "item", u.ref.Item, "request", u.request.ID, "target", u.target.ID,
-		"from_event", from, "to_event", u.progress.last, "status", status, "took_ms", time.Since(u.began).Milliseconds(),
+		"from_event", from, "to_event", u.progress.end(), "status", status, "took_ms", time.Since(u.began).Milliseconds(),
 		"error", err, "cause", cause)
 	switch {
 	case err == nil:
 		u.whole = true
 		r.follower.Targets.Succeeded(u.target.ID)
-		r.results.add(jobs.Finished{ItemRef: u.ref, State: jobs.Completed, Text: string(u.progress.text)})
+		r.results.add(jobs.Finished{ItemRef: u.ref, State: jobs.Completed, Text: u.progress.whole()})
 		r.ended(u, false)
 	case cause != nil:
 		r.ended(u, !errors.Is(cause, errClosed))
@@ -128,19 +128,3 @@
 		}
 	}
 }
-
-// add appends an event that follows the last one.
-func (p *progress) add(e *targetcall.Event) error {
-	if e.ID != 0 && e.ID <= p.last {
-		return nil
-	}
-	if e.ID != 0 && p.last != 0 && e.ID != p.last+1 {
-		return targetcall.ErrGap
-	}
-	if p.last > 0 {
-		p.text = append(p.text, '\n')
-	}
-	p.text = append(p.text, e.Data...)
-	p.last = max(e.ID, p.last+1)
-	return nil
-}
--- a/services/jobhost/runner.go
+++ b/services/jobhost/runner.go
@@ -32,6 +32,9 @@
 	waitMargin = 1 * time.Second
 	// retryPause is the pause after which an item that failed runs again.
 	retryPause = 300 * time.Millisecond
+	// saveEvery is the pause between two records of how far items have come: as
+	// much of their work is lost with a leader.
+	saveEvery = 1 * time.Second
 	// dropEvery is the pause between two looks for jobs that may go.
 	dropEvery = 30 * time.Second
 )
@@ -55,15 +58,7 @@
 	wake    chan struct{}
 	pace    jobs.Pace
 	dropped time.Time
-}
-
-// progress is how far an item has come.
-type progress struct {
-	text      []byte
-	last      int64 // id of the last event in text
-	notBefore time.Time
-	attempts  int           // answers that counted as failed, of this leader
-	spent     time.Duration // at targets, until now
+	saved   time.Time
 }
 
 func newRunner(s *Server, group *replicated.Group[jobs.Answer]) *runner {
@@ -136,13 +131,36 @@
 	for i := range order {
 		r.start(ctx, now, order[i].Ref, open[order[i].Ref], full)
 	}
+	r.save(now)
 	r.dropOld(ctx, now)
 }
 
+// save logs how far the items have come, so that a new leader goes on from
+// there.
+func (r *runner) save(now time.Time) {
+	if now.Sub(r.saved) < saveEvery {
+		return
+	}
+	r.saved = now
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for ref, running := range r.running {
+		if part, some := running.progress.unsaved(ref); some {
+			r.results.save(part)
+		}
+	}
+	for ref, paused := range r.pausing {
+		if part, some := paused.unsaved(ref); some {
+			r.results.save(part)
+		}
+	}
+}
+
 // openItem is an item that could run now.
 type openItem struct {
-	job  *jobs.Job
-	seen time.Time
+	job     *jobs.Job
+	seen    time.Time
+	partial jobs.Partial // that the log holds
 }
 
 // openItems returns the items that neither run nor pause, in the order in which
@@ -170,7 +188,7 @@
 					}
 					spent = p.spent
 				}
-				open[ref] = openItem{job: job, seen: seen[job.ID]}
+				open[ref] = openItem{job: job, seen: seen[job.ID], partial: job.Partial[i]}
 				order = append(order, jobs.Candidate{Ref: ref, Due: due, Remaining: r.pace.Remaining(job.Items[i].Tokens, spent)})
 			}
 		}
@@ -213,7 +231,7 @@
 	r.mu.Lock()
 	kept := r.pausing[ref]
 	if kept == nil {
-		kept = &progress{}
+		kept = newProgress(item.partial)
 	}
 	delete(r.pausing, ref)
 	running, cancel := context.WithCancelCause(ctx)
