Push sums of what the others do; storage hosts beyond the needed stand by

Ruled out: a single hub on the leader, without which quotas would not be exchanged while it is frozen. Change: a follower asks one control host, and another when that is silent, for the sum of what the others do, four times a second and the broker ten times; a storage host that is not needed does not join the job group (voters and one learner do).

--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -71,7 +71,18 @@
 
 // FollowPing tells control about its subscriber.
 type FollowPing struct {
-	Load MemberLoad `msgpack:"l"`
+	Load   MemberLoad `msgpack:"l"`
+	Others bool       `msgpack:"o"` // asks for what the other processes do
+}
+
+// Others sums up what the processes other than the subscriber do.
+type Others struct {
+	Host     uint64                    `msgpack:"h"`           // life of the control host that has added it up
+	Spent    map[string]uint64         `msgpack:"s,omitempty"` // tokens of each workspace; grows while Host is the same
+	Loads    map[string]placement.Load `msgpack:"l,omitempty"` // requests at each target
+	Broker   uint64                    `msgpack:"b,omitempty"` // that Loads tell the brokered requests of
+	Count    int                       `msgpack:"n"`           // processes, the subscriber left out
+	Gateways int                       `msgpack:"g"`           // gateways among them
 }
 
 // TargetReport is a target's report and how long ago it arrived.
@@ -85,7 +96,8 @@
 type FollowPush struct {
 	Catalog  *catalog.State `msgpack:"c,omitempty"`
 	Targets  []TargetReport `msgpack:"t,omitempty"`
-	Members  []MemberLoad   `msgpack:"m,omitempty"`
+	Stores   []Member       `msgpack:"m,omitempty"` // storage hosts that were heard of late, if any has changed
+	Others   *Others        `msgpack:"u,omitempty"` // if asked for
 	Controls []string       `msgpack:"o,omitempty"` // wire addresses of the control hosts
 }
 
--- a/services/director/board.go
+++ b/services/director/board.go
@@ -1,10 +1,13 @@
 package director
 
 import (
+	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"banyanwalk/core/catalog"
+	"banyanwalk/core/placement"
 	"banyanwalk/core/roster"
 	"banyanwalk/infra/rpc"
 )
@@ -15,6 +18,8 @@
 	targetSilence = 20 * time.Second
 	// memberSilence is the same for processes of the site.
 	memberSilence = 5 * time.Second
+	// loadSilence is after how long a silent process holds no targets.
+	loadSilence = 2 * time.Second
 	// storeMemory is how long the name of a silent storage host is known, so
 	// that it can be retired while it is down.
 	storeMemory = 10 * time.Minute
@@ -29,13 +34,14 @@
 	roster   *roster.Roster
 	targets  map[string]uint64 // revision of the last change, by id
 	members  map[string]*memberRecord
-	urgent   chan struct{} // closed and replaced when subscribers must know at once
+	former   map[string]uint64 // tokens that processes spent which have ended
+	life     uint64            // random number of this life of the host
+	urgent   chan struct{}     // closed and replaced when subscribers must know at once
 }
 
 type memberRecord struct {
-	load     rpc.MemberLoad
-	heard    time.Time
-	revision uint64
+	load  rpc.MemberLoad
+	heard time.Time
 }
 
 func newBoard() *board {
@@ -43,6 +49,8 @@
 		roster:  roster.New(),
 		targets: make(map[string]uint64),
 		members: make(map[string]*memberRecord),
+		former:  make(map[string]uint64),
+		life:    rand.Uint64(),
 		urgent:  make(chan struct{}),
 	}
 }
@@ -94,19 +102,29 @@
 func (b *board) member(now time.Time, load rpc.MemberLoad) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.revision++
 	known := b.members[load.Member.Name]
-	b.members[load.Member.Name] = &memberRecord{load: load, heard: now, revision: b.revision}
+	if known != nil && known.load.Member.Process != load.Member.Process {
+		b.bury(known)
+	}
+	b.members[load.Member.Name] = &memberRecord{load: load, heard: now}
 	if known == nil || known.load.Member.Process != load.Member.Process || !sameStorage(known.load.Member.Store, load.Member.Store) {
 		b.wake()
 	}
 }
 
+// bury keeps what a process that has ended has spent. The caller holds the
+// lock.
+func (b *board) bury(m *memberRecord) {
+	for workspace, spent := range m.load.Spent {
+		b.former[workspace] += spent
+	}
+}
+
 func sameStorage(a, b *rpc.StorageState) bool {
 	if a == nil || b == nil {
 		return a == b
 	}
-	return a.ID == b.ID && a.Leads == b.Leads && a.Term == b.Term
+	return a.ID == b.ID && a.Leads == b.Leads && a.Term == b.Term && len(a.Voters) == len(b.Voters) && len(a.Learners) == len(b.Learners)
 }
 
 // prune forgets who has been silent for long.
@@ -119,6 +137,7 @@
 			keep = storeMemory
 		}
 		if now.Sub(m.heard) > keep {
+			b.bury(m)
 			delete(b.members, name)
 		}
 	}
@@ -129,9 +148,9 @@
 	return expired
 }
 
-// since returns what has changed after a revision, except about one member,
-// and the revision that this is up to.
-func (b *board) since(now time.Time, revision uint64, except string) (push rpc.FollowPush, upTo uint64) {
+// since returns the targets that have changed after a revision, and the
+// revision that this is up to.
+func (b *board) since(now time.Time, revision uint64) (targets []rpc.TargetReport, upTo uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, changed := range b.targets {
@@ -139,14 +158,69 @@
 		if changed <= revision || record == nil {
 			continue
 		}
-		push.Targets = append(push.Targets, rpc.TargetReport{Report: record.Report, AgeMS: now.Sub(record.Heard).Milliseconds()})
+		targets = append(targets, rpc.TargetReport{Report: record.Report, AgeMS: now.Sub(record.Heard).Milliseconds()})
 	}
-	for name, m := range b.members {
-		if m.revision > revision && name != except {
-			push.Members = append(push.Members, m.load)
+	return targets, b.revision
+}
+
+// others adds up what the members other than the named one do. Members that
+// are silent hold no targets any more, but what they have spent counts on.
+func (b *board) others(now time.Time, name string) *rpc.Others {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := &rpc.Others{Host: b.life, Spent: maps.Clone(b.former), Loads: make(map[string]placement.Load), Broker: b.broker(now)}
+	for member, m := range b.members {
+		if member == name {
+			continue
+		}
+		for workspace, spent := range m.load.Spent {
+			sum.Spent[workspace] += spent
+		}
+		if now.Sub(m.heard) > loadSilence {
+			continue
 		}
+		sum.Count++
+		if m.load.Member.Role == rpc.RoleGateway {
+			sum.Gateways++
+		}
+		addLoads(sum, &m.load)
+	}
+	return sum
+}
+
+// addLoads adds what one member has at targets.
+func addLoads(sum *rpc.Others, load *rpc.MemberLoad) {
+	for id, at := range load.Loads {
+		total := sum.Loads[id]
+		total.Online += at.Online
+		total.Batch += at.Batch
+		if load.Broker == sum.Broker {
+			total.Brokered += at.Brokered
+		}
+		sum.Loads[id] = total
 	}
-	return push, b.revision
+}
+
+// broker returns the number of the broker in force. The caller holds the lock.
+func (b *board) broker(now time.Time) uint64 {
+	var hosts []rpc.Member
+	for _, m := range b.members {
+		if m.load.Member.Store != nil && now.Sub(m.heard) <= loadSilence {
+			hosts = append(hosts, m.load.Member)
+		}
+	}
+	if leader := storeLeader(hosts); leader != nil {
+		return leader.Broker()
+	}
+	return 0
+}
+
+// leads reports whether a member is the storage host that leads.
+func (b *board) leads(name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := b.members[name]
+	return m != nil && m.load.Member.Store != nil && m.load.Member.Store.Leads
 }
 
 // next returns a channel that is closed at the next urgent change.
--- a/services/director/follow.go
+++ b/services/director/follow.go
@@ -1,8 +1,10 @@
 package director
 
 import (
+	"cmp"
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -17,6 +19,12 @@
 	pushInterval = 100 * time.Millisecond
 	// urgentPause lets urgent changes that come together share a push.
 	urgentPause = 5 * time.Millisecond
+	// othersInterval is the pause between two sums of what the others do, but
+	// for the broker.
+	othersInterval = 250 * time.Millisecond
+	// listEvery is after how long the storage hosts are listed again, so that
+	// followers know that they are still heard.
+	listEvery = 1 * time.Second
 	// idlePush is after how long a push is sent even if it is empty, so that a
 	// follower notices a host that hangs.
 	idlePush = 400 * time.Millisecond
@@ -33,10 +41,12 @@
 	name := first.Load.Member.Name
 	s.log.Info("follower_joined", "member", name, "role", first.Load.Member.Role, "member_process", first.Load.Member.Process)
 	s.board.member(time.Now(), first.Load)
+	var others atomic.Bool
+	others.Store(first.Others)
 	var wg conc.WaitGroup
 	wg.Go(func() {
 		defer stream.Close()
-		s.push(ctx, stream, name)
+		s.push(ctx, &pusher{server: s, stream: stream, name: name, others: &others})
 	})
 	defer wg.Wait()
 	defer cancel()
@@ -47,12 +57,12 @@
 			return nil
 		}
 		s.board.member(time.Now(), ping.Load)
+		others.Store(ping.Others)
 	}
 }
 
 // push sends what changes until the stream fails or ctx ends.
-func (s *Server) push(ctx context.Context, stream *wire.Stream, name string) {
-	p := pusher{server: s, stream: stream, name: name}
+func (s *Server) push(ctx context.Context, p *pusher) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -81,36 +91,63 @@
 	server   *Server
 	stream   *wire.Stream
 	name     string
-	revision uint64 // of the board, sent
-	catalog  uint64 // revision of the catalog, sent
-	started  bool
+	others   *atomic.Bool // the follower asks for what the others do
+	revision uint64       // of the board, sent
+	catalog  uint64       // revision of the catalog, sent
+	stores   []rpc.Member
 	controls []string
+	listed   time.Time // when the storage hosts were sent last
+	summed   time.Time // when Others was sent last
 	sent     time.Time
 }
 
+// send pushes what has changed, or a sign of life when that is due.
 func (p *pusher) send(now time.Time) error {
-	push, upTo := p.server.board.since(now, p.revision, p.name)
+	push := rpc.FollowPush{}
+	push.Targets, p.revision = p.server.board.since(now, p.revision)
 	if state := p.server.state.state(); state.Revision > p.catalog {
 		push.Catalog = state
+		p.catalog = state.Revision
 	}
 	if controls := p.server.controls(); !slices.Equal(controls, p.controls) {
 		push.Controls = controls
+		p.controls = controls
 	}
-	empty := push.Catalog == nil && push.Controls == nil && len(push.Targets) == 0 && len(push.Members) == 0
-	if empty && p.started && now.Sub(p.sent) < idlePush {
+	p.addStores(now, &push)
+	p.addOthers(now, &push)
+	empty := push.Catalog == nil && push.Controls == nil && len(push.Targets) == 0 && push.Stores == nil && push.Others == nil
+	if empty && now.Sub(p.sent) < idlePush {
 		return nil
 	}
-	if err := p.stream.Send(&push); err != nil {
-		return err
+	p.sent = now
+	return p.stream.Send(&push)
+}
+
+// addStores adds the storage hosts when one of them has come, gone or changed.
+func (p *pusher) addStores(now time.Time, push *rpc.FollowPush) {
+	stores := p.server.board.stores(now, storageSilence)
+	slices.SortFunc(stores, func(a, b rpc.Member) int { return cmp.Compare(a.Name, b.Name) })
+	same := slices.EqualFunc(stores, p.stores, func(a, b rpc.Member) bool {
+		return a.Name == b.Name && a.Process == b.Process && sameStorage(a.Store, b.Store)
+	})
+	if same && len(stores) > 0 && now.Sub(p.listed) < listEvery {
+		return
 	}
-	p.revision, p.started, p.sent = upTo, true, now
-	if push.Catalog != nil {
-		p.catalog = push.Catalog.Revision
+	p.listed, p.stores = now, stores
+	push.Stores = stores
+}
+
+// addOthers adds what the others do. The broker needs that soonest.
+func (p *pusher) addOthers(now time.Time, push *rpc.FollowPush) {
+	pause := othersInterval
+	if p.server.board.leads(p.name) {
+		pause = pushInterval
 	}
-	if push.Controls != nil {
-		p.controls = push.Controls
+	if !p.others.Load() || now.Sub(p.summed) < pause {
+		return
 	}
-	return nil
+	p.summed = now
+	push.Others = p.server.board.others(now, p.name)
 }
 
 // controls returns the wire addresses of the control hosts, as the group knows
--- a/services/follow/feed.go
+++ b/services/follow/feed.go
@@ -70,7 +70,7 @@
 	defer cancel()
 	wg.Go(func() {
 		defer stream.Close()
-		f.report(ctx, stream)
+		f.report(ctx, addr, stream)
 	})
 	for {
 		if err := stream.SetDeadline(time.Now().Add(stallTimeout)); err != nil {
@@ -85,9 +85,10 @@
 }
 
 // report sends what this process does until the stream fails or ctx ends.
-func (f *Follower) report(ctx context.Context, stream *wire.Stream) {
+func (f *Follower) report(ctx context.Context, addr string, stream *wire.Stream) {
 	var sent time.Time
 	var before map[string]placement.Load
+	asked := false
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -101,12 +102,13 @@
 		}
 		timer.Reset(reportInterval)
 		own := f.reported(f.broker())
-		if maps.Equal(own, before) && time.Since(sent) < reportIdle {
+		asks := f.asksOthers(addr)
+		if maps.Equal(own, before) && asks == asked && time.Since(sent) < reportIdle {
 			continue
 		}
-		if err := stream.Send(&rpc.FollowPing{Load: f.load()}); err != nil {
+		if err := stream.Send(&rpc.FollowPing{Load: f.load(), Others: asks}); err != nil {
 			return
 		}
-		sent, before = time.Now(), own
+		sent, before, asked = time.Now(), own, asks
 	}
 }
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -6,7 +6,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,12 +29,16 @@
 	// targetSilence is how long a target may be silent, by the newest push
 	// that has come, before it gets no requests any more.
 	targetSilence = 8 * time.Second
-	// memberSilence is the same for what other processes report.
-	memberSilence = 2 * time.Second
+	// storesSilence is after how long without a list of the storage hosts none
+	// is taken to be there. Lists come each second.
+	storesSilence = 3 * time.Second
+	// primarySilence is after how long the control host that is asked for what
+	// the others do is left for another one. Hosts push every 400 ms.
+	primarySilence = 800 * time.Millisecond
 	// deafAfter is how long without any push a process takes itself for cut
 	// off, and keeps to its share of the quotas.
 	deafAfter  = 1500 * time.Millisecond
-	checkEvery = 500 * time.Millisecond
+	checkEvery = 250 * time.Millisecond
 )
 
 // Config describes the process and the control hosts that it starts from.
@@ -56,8 +63,13 @@
 
 	mu       sync.Mutex
 	roster   *roster.Roster
-	members  map[string]*memberState
-	newest   time.Time // when the last push came
+	stores   []rpc.Member
+	listed   time.Time // when the storage hosts were listed last
+	others   *rpc.Others
+	summed   time.Time            // when others came
+	pushed   map[string]time.Time // when each control host pushed last
+	newest   time.Time            // when the last push came
+	primary  string               // control host that is asked for what the others do
 	deaf     bool
 	controls map[string]bool // addresses that are followed
 	added    chan string
@@ -67,11 +79,6 @@
 	nudge    atomic.Pointer[chan struct{}] // closed and replaced when feeds should report at once
 }
 
-type memberState struct {
-	load  rpc.MemberLoad
-	heard time.Time // when the report was new here
-}
-
 // New returns a follower that knows nothing yet.
 func New(cfg Config) *Follower {
 	cfg.Member.Process = rand.Uint64()
@@ -80,7 +87,7 @@
 		Targets:  placement.New(cfg.Member.DataCentre),
 		Buckets:  quota.New(),
 		roster:   roster.New(),
-		members:  make(map[string]*memberState),
+		pushed:   make(map[string]time.Time),
 		controls: make(map[string]bool),
 		added:    make(chan string, maxControls),
 		changed:  make(chan struct{}),
@@ -127,15 +134,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	var hosts []rpc.StorageState
+	if now.Sub(f.listed) > storesSilence {
+		return nil
+	}
+	hosts := make([]rpc.StorageState, 0, len(f.stores))
 	leader := -1
-	for _, m := range f.members {
-		store := m.load.Member.Store
-		if store == nil || now.Sub(m.heard) > memberSilence {
-			continue
-		}
-		hosts = append(hosts, *store)
-		if store.Leads && (leader < 0 || store.Term > hosts[leader].Term) {
+	for _, m := range f.stores {
+		hosts = append(hosts, *m.Store)
+		if m.Store.Leads && (leader < 0 || m.Store.Term > hosts[leader].Term) {
 			leader = len(hosts) - 1
 		}
 	}
@@ -164,7 +170,9 @@
 }
 
 // Nudge makes the process report its load at once.
-func (f *Follower) Nudge() {
+func (f *Follower) Nudge() { f.wakeFeeds() }
+
+func (f *Follower) wakeFeeds() {
 	next := make(chan struct{})
 	close(*f.nudge.Swap(&next))
 }
@@ -222,9 +230,14 @@
 	if f.mergeTargets(now, push.Targets) {
 		altered = true
 	}
-	if f.mergeMembers(now, push.Members) {
+	f.pushed[from] = now
+	if len(push.Stores) > 0 {
+		f.stores, f.listed = push.Stores, now
 		altered = true
 	}
+	if push.Others != nil {
+		f.mergeOthers(now, push.Others)
+	}
 	if altered {
 		close(f.changed)
 		f.changed = make(chan struct{})
@@ -270,55 +283,28 @@
 	return altered
 }
 
-// mergeMembers takes what other processes report of themselves. It reports
-// whether a storage host has changed.
-func (f *Follower) mergeMembers(now time.Time, loads []rpc.MemberLoad) bool {
-	altered := false
-	for _, load := range loads {
-		known := f.members[load.Member.Name]
-		if known != nil && known.load.Member.Process == load.Member.Process && load.Sequence <= known.load.Sequence {
-			continue
-		}
-		f.members[load.Member.Name] = &memberState{load: load, heard: now}
-		if load.Member.Name != f.cfg.Member.Name {
-			f.Buckets.Learn(processKey(&load.Member), load.Spent)
-		}
-		altered = altered || load.Member.Store != nil
-	}
-	if len(loads) > 0 {
-		f.sumLoads(now)
-	}
-	return altered
-}
-
-func processKey(m *rpc.Member) string {
-	return m.Name + "/" + time.Duration(m.Process).String()
+// mergeOthers takes what the other processes do.
+func (f *Follower) mergeOthers(now time.Time, others *rpc.Others) {
+	f.others, f.summed = others, now
+	f.Buckets.Learn(strconv.FormatUint(others.Host, 16), others.Spent)
+	f.setOthers(others)
 }
 
-// sumLoads adds up what the other processes have at each target.
-func (f *Follower) sumLoads(now time.Time) {
-	sum := make(map[string]placement.Load)
-	processes := 1
+// setOthers tells the choice of targets what the others have there. A broker
+// leaves out what it has placed itself.
+func (f *Follower) setOthers(others *rpc.Others) {
 	broker := uint64(0)
 	if f.cfg.Broker != nil {
 		broker = f.cfg.Broker()
 	}
-	for name, m := range f.members {
-		if name == f.cfg.Member.Name || now.Sub(m.heard) > memberSilence {
-			continue
-		}
-		processes++
-		for id, load := range m.load.Loads {
-			if broker != 0 && m.load.Broker == broker {
-				load = load.Direct()
-			}
-			total := sum[id]
-			total.Online += load.Online
-			total.Batch += load.Batch
-			sum[id] = total
+	loads := others.Loads
+	if broker != 0 && others.Broker == broker {
+		loads = make(map[string]placement.Load, len(others.Loads))
+		for id, load := range others.Loads {
+			loads[id] = load.Direct()
 		}
 	}
-	f.Targets.SetOthers(sum, processes)
+	f.Targets.SetOthers(loads, others.Count+1)
 }
 
 // check drops what has become old, and notices when no control host is heard.
@@ -331,27 +317,53 @@
 		}
 		f.Targets.SetRecords(f.roster.All())
 	}
-	f.sumLoads(now)
+	f.choosePrimary(now)
 	f.checkDeaf(now)
 }
 
+// choosePrimary picks the control host that is asked for what the others do.
+func (f *Follower) choosePrimary(now time.Time) {
+	if now.Sub(f.pushed[f.primary]) <= primarySilence {
+		return
+	}
+	former := f.primary
+	f.primary = ""
+	addrs := slices.Sorted(maps.Keys(f.pushed))
+	for i := range addrs {
+		addr := addrs[(i+int(f.cfg.Member.Process%uint64(len(addrs))))%len(addrs)]
+		if now.Sub(f.pushed[addr]) <= primarySilence {
+			f.primary = addr
+			break
+		}
+	}
+	if f.primary != former {
+		f.cfg.Log.Info("control_primary_changed", "before", former, "primary", f.primary)
+		f.wakeFeeds()
+	}
+}
+
+// asksOthers reports whether a control host is asked for what the others do.
+func (f *Follower) asksOthers(addr string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.primary == addr
+}
+
 func (f *Follower) checkDeaf(now time.Time) {
-	deaf := now.Sub(f.newest) > deafAfter
+	deaf := now.Sub(f.summed) > deafAfter
 	if deaf == f.deaf {
 		return
 	}
 	f.deaf = deaf
-	gateways := 1
-	for _, m := range f.members {
-		if m.load.Member.Role == rpc.RoleGateway && m.load.Member.Name != f.cfg.Member.Name {
-			gateways++
-		}
-	}
 	if !deaf {
 		f.Buckets.Share(1)
 		f.cfg.Log.Info("control_regained", "controls", len(f.controls))
 		return
 	}
+	gateways := 1
+	if f.others != nil {
+		gateways += f.others.Gateways
+	}
 	f.Buckets.Share(gateways)
 	f.cfg.Log.Warn("control_lost", "controls", len(f.controls), "silent_ms", now.Sub(f.newest).Milliseconds(), "quota_share", gateways)
 }
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -35,6 +35,8 @@
 	// maxReadBytes bounds the texts of one answer to a read.
 	maxReadBytes = 900 << 10
 	reviewEvery  = 200 * time.Millisecond
+	// spareLearners follow the group without a vote, ready to take one.
+	spareLearners = 1
 )
 
 // Config describes one storage host.
@@ -153,7 +155,7 @@
 		return nil, err
 	}
 	founders, known := s.awaitFounders(ctx)
-	if !known {
+	if !known || !s.awaitNeed(ctx, id, founders) {
 		return nil, nil
 	}
 	peers := slices.Clone(founders)
@@ -201,6 +203,46 @@
 	}
 }
 
+// awaitNeed waits until the group needs this host: at once when it founds the
+// group, belonged to it or may have, else when one of the members or the spare
+// one is gone. It returns false when ctx ends before.
+func (s *Server) awaitNeed(ctx context.Context, id uint64, founders []uint64) bool {
+	if len(founders) == 0 || slices.Contains(founders, id) {
+		return true
+	}
+	for !isNeeded(id, s.cfg.Voters+spareLearners, s.cfg.Follower.Stores()) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(reviewEvery):
+		}
+	}
+	return true
+}
+
+// isNeeded reports whether a host is to join a group that wants so many hosts.
+// hosts are those that are heard, the leader first. Of several that could join
+// the ones with the lowest ids do.
+func isNeeded(id uint64, wanted int, hosts []rpc.StorageState) bool {
+	if len(hosts) == 0 || !hosts[0].Leads {
+		return false
+	}
+	members := slices.Concat(hosts[0].Voters, hosts[0].Learners)
+	if slices.Contains(members, id) {
+		return true
+	}
+	present, before := 0, 0
+	for i := range hosts {
+		switch {
+		case slices.Contains(members, hosts[i].ID):
+			present++
+		case hosts[i].ID < id:
+			before++
+		}
+	}
+	return present+before < wanted
+}
+
 // review passes the retired hosts on to the replica, and tells the others when
 // the leadership changes.
 func (s *Server) review(ctx context.Context, group *replicated.Group[jobs.Answer]) error {
--- a/services/jobhost/jobhost_test.go
+++ b/services/jobhost/jobhost_test.go
@@ -277,3 +277,16 @@
 	f.host.broker.mu.Unlock()
 	assert.Empty(t, f.follower.Targets.Own(0))
 }
+
+func TestHostsJoinWhenTheyAreNeeded(t *testing.T) {
+	host := func(id uint64) rpc.StorageState { return rpc.StorageState{ID: id} }
+	leader := rpc.StorageState{ID: 1, Leads: true, Voters: []uint64{1, 2, 3}, Learners: []uint64{4}}
+	const wanted = 4
+	all := []rpc.StorageState{leader, host(2), host(3), host(4), host(5), host(6)}
+	assert.True(t, isNeeded(3, wanted, all), "a member, perhaps with a lost disk")
+	assert.False(t, isNeeded(5, wanted, all), "the group is complete")
+	oneGone := []rpc.StorageState{leader, host(2), host(4), host(5), host(6)}
+	assert.True(t, isNeeded(5, wanted, oneGone))
+	assert.False(t, isNeeded(6, wanted, oneGone), "one is enough")
+	assert.False(t, isNeeded(5, wanted, []rpc.StorageState{host(2), host(4), host(5)}), "nobody leads")
+}
