--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -95,7 +95,9 @@
 	target, full := b.targets.Acquire(now, query)
 	if target == nil {
 		b.refused.Inc(1)
-		return nil, outcome.New(outcome.TargetBusy, outcome.NotRun, "no target of the service has a place").After(busyRetry)
+		slots, taken, targets := b.targets.Free(r.Service)
+		return nil, outcome.New(outcome.TargetBusy, outcome.NotRun, "no target of service %s has a place: %d slots at %d targets, %d requests there, returning %t",
+			r.Service, slots, targets, taken, r.Returning).After(busyRetry)
 	}
 	if full {
 		b.runner.take(map[string]int{target.ID: 1})
--- a/tests/docs_test.go
+++ b/tests/docs_test.go
@@ -46,3 +46,34 @@
 	}
 	return all.String()
 }
+
+var (
+	metricInCode = regexp.MustCompile(`(?:GetOrRegister(?:Counter|Meter|Histogram)|histogram)\("([a-z._]+)"`)
+	metricInPage = regexp.MustCompile("(?m)^\\| `([a-z._]+)` \\|")
+)
+
+// docs/METRICS.md lists exactly the metrics of the programs of a site.
+func TestMetricsPageListsAllMetrics(t *testing.T) {
+	var code []string
+	for _, pkg := range []string{"director", "entry", "jobhost", "targetcall", "replicated", "follow"} {
+		files, err := filepath.Glob(filepath.Join("..", "services", pkg, "*.go"))
+		require.NoError(t, err)
+		require.NotEmpty(t, files, pkg)
+		for _, file := range files {
+			content, err := os.ReadFile(file)
+			require.NoError(t, err)
+			code = append(code, submatches(metricInCode, content)...)
+		}
+	}
+	page, err := os.ReadFile("../docs/METRICS.md")
+	require.NoError(t, err)
+	assert.ElementsMatch(t, code, submatches(metricInPage, page))
+}
+
+func submatches(pattern *regexp.Regexp, content []byte) []string {
+	var found []string
+	for _, match := range pattern.FindAllSubmatch(content, -1) {
+		found = append(found, string(match[1]))
+	}
+	return found
+}
