--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -136,12 +136,27 @@
 EOF
 }
 
-# retry COMMAND...: until it succeeds, bounded.
+# check_running: fails when a program that was launched has ended, and says
+# which one and its last words; its port may be taken by another fleet.
+check_running() {
+  local file name
+  for file in "$DIR"/*.pid; do
+    name=$(basename "$file" .pid)
+    if ! kill -0 "$(cat "$file")" 2> /dev/null; then
+      echo "fleet: $name has ended: $(tail -n 1 "$DIR/$name.log")" >&2
+      return 1
+    fi
+  done
+}
+
+# retry COMMAND...: until it succeeds, bounded, while all programs run.
 retry() {
   local try
   for ((try = 0; try < READY_TRIES; try++)); do
+    check_running || return 1
     if "$@" > "$DIR/retry.out" 2>&1; then
-      return 0
+      check_running
+      return
     fi
     sleep "$READY_PAUSE"
   done
