--- a/tests/site/harness.go
+++ b/tests/site/harness.go
@@ -49,6 +49,7 @@
 	IP   string
 
 	site    *Site
+	harmed  sync.Mutex // held from the end of the process until its next start
 	mu      sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{} // closed when the process has ended
