--- a/services/director/director.go
+++ b/services/director/director.go
@@ -24,9 +24,11 @@
 	"banyanwalk/services/replicated"
 )
 
+// catalogGroup is the number of the replicated group of the control hosts.
+const catalogGroup uint32 = 0
+
 const (
-	catalogGroup  uint32 = 0
-	snapshotEvery        = 64 // entries; each may hold a whole document
+	snapshotEvery = 64 // entries; each may hold a whole document
 	// orderTimeout is how long an operator's order may take. Operators turn to
 	// another host after a second.
 	orderTimeout = 900 * time.Millisecond
--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -107,9 +107,16 @@
 	return f
 }
 
+// answer is the head of an answer.
+type answer struct {
+	StatusCode int
+	Header     http.Header
+	Close      bool
+}
+
 // ask sends a request and returns the answer with its body, and the error that
 // ended the body.
-func (f *fixture) ask(path, id string, headers ...string) (*http.Response, string, error) {
+func (f *fixture) ask(path, id string, headers ...string) (answer, string, error) {
 	f.t.Helper()
 	request, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+f.addr+path, strings.NewReader("body of "+id))
 	require.NoError(f.t, err)
@@ -123,7 +130,7 @@
 	require.NoError(f.t, err)
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return response, string(body), err
+	return answer{response.StatusCode, response.Header, response.Close}, string(body), err
 }
 
 func (f *fixture) runs() []standin.Run {
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -27,9 +27,11 @@
 	"banyanwalk/services/targetcall"
 )
 
+// jobGroup is the number of the replicated group of the storage hosts.
+const jobGroup uint32 = 1
+
 const (
-	jobGroup      uint32 = 1
-	snapshotEvery        = 2000 // entries
+	snapshotEvery = 2000 // entries
 	// confirmTimeout bounds a quorum's confirmation of a read.
 	confirmTimeout = 600 * time.Millisecond
 	// maxReadBytes bounds the texts of one answer to a read.
--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 
 	"banyanwalk/services/targetcall"
 )
@@ -48,11 +49,11 @@
 	Addr    string
 	dialect targetcall.Dialect
 	server  *http.Server
+	serving conc.WaitGroup
 
 	mu        sync.Mutex
 	behaviour func(id string) Behaviour
 	runs      []*Run
-	refused   int
 }
 
 // NewTarget starts a target on a loopback address. Close ends it.
@@ -64,12 +65,15 @@
 	t := &Target{ID: id, Addr: l.Addr().String(), dialect: dialect}
 	t.Set(func(string) Behaviour { return behaviour })
 	t.server = &http.Server{Handler: t, ReadHeaderTimeout: time.Minute}
-	go func() { _ = t.server.Serve(l) }() // ends with Close
+	t.serving.Go(func() { _ = t.server.Serve(l) }) // its error tells that Close was called
 	return t, nil
 }
 
 // Close ends the target and all its connections.
-func (t *Target) Close() { _ = t.server.Close() }
+func (t *Target) Close() {
+	_ = t.server.Close() // the listener and all connections are closed in any case
+	t.serving.Wait()
+}
 
 // Set replaces what the target does, by the id of the request.
 func (t *Target) Set(behaviour func(id string) Behaviour) {
--- a/tests/site/harness.go
+++ b/tests/site/harness.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 
 	"banyanwalk/platform"
 	"banyanwalk/services/standin"
@@ -63,6 +64,7 @@
 	dir      string
 	zones    []string
 	client   *http.Client
+	waiting  conc.WaitGroup // for processes to end
 
 	mu      sync.Mutex
 	targets []*beating
@@ -77,7 +79,7 @@
 	zone    string
 	born    int64
 	stop    context.CancelFunc
-	done    chan struct{}
+	beating conc.WaitGroup
 }
 
 // New lays out a site of so many hosts of each role under dir. network is the
@@ -168,10 +170,10 @@
 	h.mu.Lock()
 	h.command, h.ended, h.first = command, ended, false
 	h.mu.Unlock()
-	go func() { // ends with the process, which Stop and Kill wait for
+	h.site.waiting.Go(func() {
 		_ = command.Wait() // how it ended is in its log
 		close(ended)
-	}()
+	})
 	return nil
 }
 
@@ -239,12 +241,13 @@
 	for _, h := range s.Hosts {
 		h.Kill()
 	}
+	s.waiting.Wait()
 	s.mu.Lock()
 	targets := s.targets
 	s.mu.Unlock()
 	for _, b := range targets {
 		b.stop()
-		<-b.done
+		b.beating.Wait()
 		b.target.Close()
 	}
 }
@@ -255,13 +258,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.mu.Lock()
 	b := &beating{target: t, addr: addr, service: service, zone: s.zones[len(s.targets)%len(s.zones)],
-		born: time.Now().UnixMilli(), stop: cancel, done: make(chan struct{})}
+		born: time.Now().UnixMilli(), stop: cancel}
 	s.targets = append(s.targets, b)
 	s.mu.Unlock()
-	go func() { // ends with Close
-		defer close(b.done)
-		s.beat(ctx, b, slots)
-	}()
+	b.beating.Go(func() { s.beat(ctx, b, slots) })
 }
 
 // beat reports a target to one control host after another.
--- a/tests/site/proxy.go
+++ b/tests/site/proxy.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 )
 
 // Fault is what a proxy does to the connections through it.
@@ -39,7 +40,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
-	wg    sync.WaitGroup
+	wg    conc.WaitGroup
 }
 
 // NewProxy starts a proxy before a target. Close ends it.
@@ -100,7 +101,7 @@
 	defer p.track(caller, false)
 	p.track(target, true)
 	defer p.track(target, false)
-	var both sync.WaitGroup
+	var both conc.WaitGroup
 	both.Go(func() { p.pass(target, caller, Deaf) })
 	both.Go(func() { p.pass(caller, target, Mute) })
 	both.Wait()
--- a/tests/site/soak.go
+++ b/tests/site/soak.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"banyanwalk/platform"
 	"banyanwalk/services/standin"
 )
@@ -82,7 +84,7 @@
 	}
 	running, stop := context.WithTimeout(ctx, length)
 	defer stop()
-	var wg sync.WaitGroup
+	var wg conc.WaitGroup
 	for i := range soakCallers {
 		wg.Go(func() { k.call(running, i) })
 	}
@@ -260,7 +262,7 @@
 // disturb plays faults until ctx ends: at most one host of each group that
 // keeps state is harmed within stateGap, gateways and targets at any time.
 func (k *Soak) disturb(ctx context.Context) {
-	var wg sync.WaitGroup
+	var wg conc.WaitGroup
 	defer wg.Wait()
 	lost := map[string]time.Time{}
 	for ctx.Err() == nil {
@@ -316,7 +318,7 @@
 }
 
 // harmTarget harms the connections of one target for a while.
-func (k *Soak) harmTarget(ctx context.Context, wg *sync.WaitGroup) {
+func (k *Soak) harmTarget(ctx context.Context, wg *conc.WaitGroup) {
 	i, length := k.rng.IntN(len(k.proxies)), time.Duration(200+k.rng.IntN(1500))*time.Millisecond
 	fault := Fault(k.rng.IntN(int(Refusing) + 2))
 	k.note("t%d: fault %d for %s", i, fault, length)
