What processes spend never jumps

Cause: a control host dropped a silent gateway's record into the sum of ended processes and counted it again when the gateway reported, so the others saw its whole spending a second time and refused (429) until their buckets had refilled. Ruled out: the share of a cut-off gateway, which was in touch. Change: spending is kept by life of a process and summed once. Test failed before.

--- a/services/director/board.go
+++ b/services/director/board.go
@@ -1,7 +1,6 @@
 package director
 
 import (
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -20,6 +19,9 @@
 	memberSilence = 5 * time.Second
 	// loadSilence is after how long a silent process holds no targets.
 	loadSilence = 2 * time.Second
+	// spentMemory is how long what a process has spent counts after its last
+	// report; it must not jump when a silent one reports again.
+	spentMemory = 10 * time.Minute
 	// storeMemory is how long the name of a silent storage host is known, so
 	// that it can be retired while it is down.
 	storeMemory = 10 * time.Minute
@@ -34,9 +36,15 @@
 	roster   *roster.Roster
 	targets  map[string]uint64 // revision of the last change, by id
 	members  map[string]*memberRecord
-	former   map[string]uint64 // tokens that processes spent which have ended
-	life     uint64            // random number of this life of the host
-	urgent   chan struct{}     // closed and replaced when subscribers must know at once
+	spent    map[uint64]spending // by process, also of those that are silent or have ended
+	life     uint64              // random number of this life of the host
+	urgent   chan struct{}       // closed and replaced when subscribers must know at once
+}
+
+// spending is what one life of a process has spent of each workspace.
+type spending struct {
+	tokens map[string]uint64
+	heard  time.Time
 }
 
 type memberRecord struct {
@@ -49,7 +57,7 @@
 		roster:  roster.New(),
 		targets: make(map[string]uint64),
 		members: make(map[string]*memberRecord),
-		former:  make(map[string]uint64),
+		spent:   make(map[uint64]spending),
 		life:    rand.Uint64(),
 		urgent:  make(chan struct{}),
 	}
@@ -103,23 +111,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known := b.members[load.Member.Name]
-	if known != nil && known.load.Member.Process != load.Member.Process {
-		b.bury(known)
-	}
+	b.spent[load.Member.Process] = spending{tokens: load.Spent, heard: now}
 	b.members[load.Member.Name] = &memberRecord{load: load, heard: now}
 	if known == nil || known.load.Member.Process != load.Member.Process || !sameStorage(known.load.Member.Store, load.Member.Store) {
 		b.wake()
 	}
 }
 
-// bury keeps what a process that has ended has spent. The caller holds the
-// lock.
-func (b *board) bury(m *memberRecord) {
-	for workspace, spent := range m.load.Spent {
-		b.former[workspace] += spent
-	}
-}
-
 func sameStorage(a, b *rpc.StorageState) bool {
 	if a == nil || b == nil {
 		return a == b
@@ -137,10 +135,14 @@
 			keep = storeMemory
 		}
 		if now.Sub(m.heard) > keep {
-			b.bury(m)
 			delete(b.members, name)
 		}
 	}
+	for process, s := range b.spent {
+		if now.Sub(s.heard) > spentMemory {
+			delete(b.spent, process)
+		}
+	}
 	expired := b.roster.Expire(now.Add(-targetSilence))
 	for _, record := range expired {
 		delete(b.targets, record.ID)
@@ -168,15 +170,10 @@
 func (b *board) others(now time.Time, name string) *rpc.Others {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	sum := &rpc.Others{Host: b.life, Spent: maps.Clone(b.former), Loads: make(map[string]placement.Load), Broker: b.broker(now)}
+	sum := &rpc.Others{Host: b.life, Spent: make(map[string]uint64), Loads: make(map[string]placement.Load), Broker: b.broker(now)}
+	b.addSpent(sum, name)
 	for member, m := range b.members {
-		if member == name {
-			continue
-		}
-		for workspace, spent := range m.load.Spent {
-			sum.Spent[workspace] += spent
-		}
-		if now.Sub(m.heard) > loadSilence {
+		if member == name || now.Sub(m.heard) > loadSilence {
 			continue
 		}
 		sum.Count++
@@ -188,6 +185,23 @@
 	return sum
 }
 
+// addSpent adds what all processes have spent but the named member's current
+// one. The caller holds the lock.
+func (b *board) addSpent(sum *rpc.Others, name string) {
+	own := uint64(0)
+	if m := b.members[name]; m != nil {
+		own = m.load.Member.Process
+	}
+	for process, s := range b.spent {
+		if process == own {
+			continue
+		}
+		for workspace, tokens := range s.tokens {
+			sum.Spent[workspace] += tokens
+		}
+	}
+}
+
 // addLoads adds what one member has at targets.
 func addLoads(sum *rpc.Others, load *rpc.MemberLoad) {
 	for id, at := range load.Loads {
--- a/services/director/director_test.go
+++ b/services/director/director_test.go
@@ -180,3 +180,25 @@
 	assert.Equal(t, one.machine.State(), two.state())
 	assert.Error(t, two.Restore([]byte("nonsense")))
 }
+
+// What a process has spent counts once, also when it has been silent for long
+// or another life follows it (nsl-dakar trouble-1, seed 895155291060: quotas were
+// refused after a gateway had been frozen).
+func TestWhatProcessesSpendNeverJumps(t *testing.T) {
+	b := newBoard()
+	now := time.Now()
+	report := func(at time.Time, process, spent uint64) {
+		b.member(at, rpc.MemberLoad{Member: rpc.Member{Name: "g1", Role: rpc.RoleGateway, Process: process}, Spent: map[string]uint64{"w": spent}})
+	}
+	seen := func(at time.Time) uint64 { return b.others(at, "g2").Spent["w"] }
+	report(now, 1, 100)
+	assert.Equal(t, uint64(100), seen(now))
+	later := now.Add(2 * memberSilence)
+	b.prune(later)
+	assert.Equal(t, uint64(100), seen(later), "silent")
+	report(later, 1, 103)
+	assert.Equal(t, uint64(103), seen(later), "it reports again")
+	report(later, 2, 4)
+	assert.Equal(t, uint64(107), seen(later), "its next life")
+	assert.Equal(t, uint64(103), b.others(later, "g1").Spent["w"], "all but what it knows itself")
+}
