Quotas: count each token once, whoever tells of it

Cause: requests within the limit were refused (429) after gateways or control hosts had restarted: a control host that had begun later added the whole spending of each process as it came to know it; a gateway that went back to a control host took off again what it had learned elsewhere meanwhile; a gateway that began in a step of load had a nearly empty bucket. Change: control hosts count what a process spends after its first report; a source that is left is forgotten; gateways report how far their buckets are from full and a new one begins there.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -14,9 +14,13 @@
 	"time"
 )
 
-// startSeconds is the share of a bucket, in seconds of its rate, that a new
-// gateway starts with: it does not know yet what the others have spent.
-const startSeconds = 0.25
+const (
+	// startSeconds is the share of a bucket, in seconds of its rate, that a new
+	// gateway starts with before it has heard how full the others' are.
+	startSeconds = 0.25
+	// leastDebt is how far from full a bucket is reported, in tokens.
+	leastDebt = 1.0
+)
 
 // Rate is the limit of one workspace.
 type Rate struct {
@@ -28,14 +32,16 @@
 type Buckets struct {
 	mu      sync.Mutex
 	buckets map[string]*bucket
-	sharers float64 // gateways that the rates are divided by; 1 while others are heard
+	sharers float64            // gateways that the rates are divided by; 1 while others are heard
+	debts   map[string]float64 // of the others when this process began; nil: not heard yet
 }
 
 type bucket struct {
 	level float64
+	rate  Rate
 	at    time.Time
 	spent uint64            // here, since the start of the process
-	heard map[string]uint64 // spent elsewhere, by process
+	heard map[string]uint64 // spent elsewhere, by the source that said so
 }
 
 // New returns empty buckets.
@@ -83,8 +89,9 @@
 	return spent
 }
 
-// Learn takes off what another process has spent since it was heard before.
-func (b *Buckets) Learn(process string, spent map[string]uint64) {
+// Learn takes off what has been spent elsewhere since the same source said so
+// before. A source tells what it has counted since its own start.
+func (b *Buckets) Learn(source string, spent map[string]uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for workspace, total := range spent {
@@ -93,14 +100,60 @@
 			held = &bucket{heard: make(map[string]uint64), level: math.NaN()}
 			b.buckets[workspace] = held
 		}
-		before, known := held.heard[process]
-		held.heard[process] = total
+		before, known := held.heard[source]
+		held.heard[source] = total
 		if known {
 			held.level -= float64(total) - float64(before)
 		}
 	}
 }
 
+// Forget drops what a source has said: another one tells of the same spending
+// from now on, and what it says when it is asked again must not count twice.
+func (b *Buckets) Forget(source string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, held := range b.buckets {
+		delete(held.heard, source)
+	}
+}
+
+// Debts returns how many tokens the buckets lack that are not full.
+func (b *Buckets) Debts(now time.Time) map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	debts := make(map[string]float64)
+	for workspace, held := range b.buckets {
+		if math.IsNaN(held.level) {
+			continue
+		}
+		held.fill(now, held.rate, b.sharers)
+		if debt := held.rate.Burst - held.level; debt >= leastDebt {
+			debts[workspace] = debt
+		}
+	}
+	return debts
+}
+
+// Adopt fills the buckets of a process that has just begun as far as the
+// others' are. Later calls change nothing.
+func (b *Buckets) Adopt(debts map[string]float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.debts != nil {
+		return
+	}
+	b.debts = debts
+	if debts == nil {
+		b.debts = make(map[string]float64)
+	}
+	for workspace, held := range b.buckets {
+		if !math.IsNaN(held.level) {
+			held.level = held.rate.Burst - debts[workspace]
+		}
+	}
+}
+
 // Share divides the rates by the number of gateways, for a gateway that does
 // not hear what the others spend. 1 ends it.
 func (b *Buckets) Share(gateways int) {
@@ -117,8 +170,12 @@
 	}
 	if math.IsNaN(held.level) {
 		held.level = min(rate.Burst, 1+rate.PerSecond*startSeconds)
+		if b.debts != nil {
+			held.level = rate.Burst - b.debts[workspace]
+		}
 		held.at = now
 	}
+	held.rate = rate
 	return held
 }
 
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -105,3 +105,57 @@
 		}
 	}
 }
+
+// Two sources tell of the same spending, one after the other and the first one
+// again (nsl-dakar mix, seed 895155291060: all workspaces were refused for a
+// second after a gateway had gone back to a control host).
+func TestASourceThatIsAskedAgainCountsNothingTwice(t *testing.T) {
+	b := New()
+	rate := Rate{PerSecond: 100, Burst: 100}
+	now := start
+	b.Take(now, "w", rate)
+	now = now.Add(time.Minute)
+	b.Learn("a", map[string]uint64{"w": 1000})
+	b.Forget("a")
+	b.Learn("b", map[string]uint64{"w": 5000})
+	b.Learn("b", map[string]uint64{"w": 5010})
+	b.Forget("b")
+	b.Learn("a", map[string]uint64{"w": 1500})
+	taken := 0
+	for {
+		if _, ok := b.Take(now, "w", rate); !ok {
+			break
+		}
+		taken++
+	}
+	assert.InDelta(t, 90, taken, 12, "ten were spent elsewhere")
+}
+
+// A gateway that begins in the middle of a step of load has as much as the
+// others (nsl-dakar trouble-1, seed 895155291060: restarted gateways refused
+// requests within the limit until the step was over).
+func TestANewGatewayHasWhatTheOthersHave(t *testing.T) {
+	rate := Rate{PerSecond: 100, Burst: 100}
+	old, fresh := New(), New()
+	old.Take(start, "w", rate)
+	old.Take(start, "full", rate)
+	now := start.Add(time.Minute)
+	for range 40 {
+		old.Take(now, "w", rate)
+	}
+	debts := old.Debts(now)
+	assert.Equal(t, map[string]float64{"w": 40}, debts)
+	fresh.Take(now, "w", rate)
+	fresh.Adopt(debts)
+	fresh.Adopt(nil)
+	for workspace, want := range map[string]int{"w": 60, "full": 100} {
+		taken := 0
+		for {
+			if _, ok := fresh.Take(now, workspace, rate); !ok {
+				break
+			}
+			taken++
+		}
+		assert.Equal(t, want, taken, workspace)
+	}
+}
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -67,6 +67,7 @@
 	Spent    map[string]uint64         `msgpack:"s,omitempty"` // tokens of each workspace since the start of the process
 	Loads    map[string]placement.Load `msgpack:"l,omitempty"` // requests at each target
 	Broker   uint64                    `msgpack:"b,omitempty"` // that Loads tell the brokered requests of: see StorageState.Broker
+	Debts    map[string]float64        `msgpack:"d,omitempty"` // tokens that the buckets of workspaces lack
 }
 
 // FollowPing tells control about its subscriber.
@@ -81,6 +82,7 @@
 	Spent    map[string]uint64         `msgpack:"s,omitempty"` // tokens of each workspace; grows while Host is the same
 	Loads    map[string]placement.Load `msgpack:"l,omitempty"` // requests at each target
 	Broker   uint64                    `msgpack:"b,omitempty"` // that Loads tell the brokered requests of
+	Debts    map[string]float64        `msgpack:"d,omitempty"` // the largest of each workspace at any gateway
 	Count    int                       `msgpack:"n"`           // processes, the subscriber left out
 	Gateways int                       `msgpack:"g"`           // gateways among them
 }
--- a/services/director/board.go
+++ b/services/director/board.go
@@ -41,8 +41,11 @@
 	urgent   chan struct{}       // closed and replaced when subscribers must know at once
 }
 
-// spending is what one life of a process has spent of each workspace.
+// spending is what one life of a process has spent of each workspace. Only what
+// it spends after its first report to this host counts, as this host may have
+// begun later.
 type spending struct {
+	from   map[string]uint64
 	tokens map[string]uint64
 	heard  time.Time
 }
@@ -111,7 +114,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known := b.members[load.Member.Name]
-	b.spent[load.Member.Process] = spending{tokens: load.Spent, heard: now}
+	first, heard := b.spent[load.Member.Process]
+	if !heard {
+		first.from = load.Spent
+	}
+	b.spent[load.Member.Process] = spending{from: first.from, tokens: load.Spent, heard: now}
 	b.members[load.Member.Name] = &memberRecord{load: load, heard: now}
 	if known == nil || known.load.Member.Process != load.Member.Process || !sameStorage(known.load.Member.Store, load.Member.Store) {
 		b.wake()
@@ -170,7 +177,7 @@
 func (b *board) others(now time.Time, name string) *rpc.Others {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	sum := &rpc.Others{Host: b.life, Spent: make(map[string]uint64), Loads: make(map[string]placement.Load), Broker: b.broker(now)}
+	sum := &rpc.Others{Host: b.life, Spent: make(map[string]uint64), Loads: make(map[string]placement.Load), Debts: make(map[string]float64), Broker: b.broker(now)}
 	b.addSpent(sum, name)
 	for member, m := range b.members {
 		if member == name || now.Sub(m.heard) > loadSilence {
@@ -180,12 +187,15 @@
 		if m.load.Member.Role == rpc.RoleGateway {
 			sum.Gateways++
 		}
+		for workspace, debt := range m.load.Debts {
+			sum.Debts[workspace] = max(sum.Debts[workspace], debt)
+		}
 		addLoads(sum, &m.load)
 	}
 	return sum
 }
 
-// addSpent adds what all processes have spent but the named member's current
+// addSpent adds what all processes have spent, since this host knows them, but the named member's current
 // one. The caller holds the lock.
 func (b *board) addSpent(sum *rpc.Others, name string) {
 	own := uint64(0)
@@ -197,7 +207,7 @@
 			continue
 		}
 		for workspace, tokens := range s.tokens {
-			sum.Spent[workspace] += tokens
+			sum.Spent[workspace] += tokens - s.from[workspace]
 		}
 	}
 }
--- a/services/director/director_test.go
+++ b/services/director/director_test.go
@@ -191,13 +191,16 @@
 		b.member(at, rpc.MemberLoad{Member: rpc.Member{Name: "g1", Role: rpc.RoleGateway, Process: process}, Spent: map[string]uint64{"w": spent}})
 	}
 	seen := func(at time.Time) uint64 { return b.others(at, "g2").Spent["w"] }
-	report(now, 1, 100)
+	report(now, 1, 1000)
+	assert.Equal(t, uint64(0), seen(now), "it had spent that before this host began")
+	report(now, 1, 1100)
 	assert.Equal(t, uint64(100), seen(now))
 	later := now.Add(2 * memberSilence)
 	b.prune(later)
 	assert.Equal(t, uint64(100), seen(later), "silent")
-	report(later, 1, 103)
+	report(later, 1, 1103)
 	assert.Equal(t, uint64(103), seen(later), "it reports again")
+	report(later, 2, 0)
 	report(later, 2, 4)
 	assert.Equal(t, uint64(107), seen(later), "its next life")
 	assert.Equal(t, uint64(103), b.others(later, "g1").Spent["w"], "all but what it knows itself")
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -189,6 +189,7 @@
 		Sequence: f.sequence.Add(1),
 		Spent:    f.Buckets.Spent(),
 		Loads:    f.reported(broker),
+		Debts:    f.Buckets.Debts(time.Now()),
 		Broker:   broker,
 	}
 }
@@ -285,11 +286,20 @@
 
 // mergeOthers takes what the other processes do.
 func (f *Follower) mergeOthers(now time.Time, others *rpc.Others) {
+	if f.others != nil && f.others.Host != others.Host {
+		f.Buckets.Forget(sourceOf(f.others))
+	}
 	f.others, f.summed = others, now
-	f.Buckets.Learn(strconv.FormatUint(others.Host, 16), others.Spent)
+	f.Buckets.Learn(sourceOf(others), others.Spent)
+	if others.Gateways > 0 {
+		f.Buckets.Adopt(others.Debts)
+	}
 	f.setOthers(others)
 }
 
+// sourceOf names the life of the control host that has added up others.
+func sourceOf(others *rpc.Others) string { return strconv.FormatUint(others.Host, 16) }
+
 // setOthers tells the choice of targets what the others have there. A broker
 // leaves out what it has placed itself.
 func (f *Follower) setOthers(others *rpc.Others) {
