--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -27,6 +27,9 @@
 )
 
 const (
+	// collectAt is the growth of the heap, in percent, at which it is collected:
+	// hosts are billed for memory at its peak.
+	collectAt = 60
 	// memoryShare is the part of the memory that the collector keeps to.
 	memoryShare = 0.7
 	// stopTimeout bounds the end of the HTTP listeners beside the main one.
@@ -67,6 +70,7 @@
 	if err != nil {
 		return errors.Wrap(err, "-log-level")
 	}
+	debug.SetGCPercent(collectAt)
 	if loaded.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(loaded.MemoryBytes)))
 	}
--- a/infra/netpeek/netpeek.go
+++ b/infra/netpeek/netpeek.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -32,6 +33,36 @@
 	return ok && (n == 0 && errno == nil || errors.Is(errno, syscall.ECONNRESET))
 }
 
+// WatchClosed calls gone once the peer of a connection has closed it, which is
+// looked at each interval. The returned function ends the watch.
+func WatchClosed(conn net.Conn, interval time.Duration, gone func()) (stop func()) {
+	raw := Raw(conn)
+	if raw == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	armed := make(chan struct{})
+	var timer *time.Timer
+	timer = time.AfterFunc(interval, func() {
+		<-armed
+		select {
+		case <-done:
+			return
+		default:
+		}
+		if Closed(raw) {
+			gone()
+			return
+		}
+		timer.Reset(interval)
+	})
+	close(armed)
+	return func() {
+		close(done)
+		timer.Stop()
+	}
+}
+
 // Quiet reports whether a connection is open and has nothing to read.
 func Quiet(conn net.Conn) bool {
 	raw := Raw(conn)
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -64,7 +64,7 @@
 	var cancel context.CancelCauseFunc
 	f.ctx, cancel = context.WithCancelCause(bounded)
 	f.cancel = func(cause error) { cancel(cause); free() }
-	f.stop = watchCaller(ctx, f.cancel)
+	f.stop = netpeek.WatchClosed(ctx.Conn(), goneCheck, func() { f.cancel(errCallerGone) })
 	if failure := f.run(ctx); failure != nil {
 		f.end()
 		if f.runs == 0 && f.refused == 0 {
@@ -291,33 +291,3 @@
 		return outcome.New(outcome.TargetFailed, outcome.MayHaveRun, "the target broke off")
 	}
 }
-
-// watchCaller ends a request when its caller closes the connection, so that no
-// target works for nobody. The returned function ends the watch.
-func watchCaller(ctx *fasthttp.RequestCtx, cancel context.CancelCauseFunc) (stop func()) {
-	raw := netpeek.Raw(ctx.Conn())
-	if raw == nil {
-		return func() {}
-	}
-	done := make(chan struct{})
-	armed := make(chan struct{})
-	var timer *time.Timer
-	timer = time.AfterFunc(goneCheck, func() {
-		<-armed
-		select {
-		case <-done:
-			return
-		default:
-		}
-		if netpeek.Closed(raw) {
-			cancel(errCallerGone)
-			return
-		}
-		timer.Reset(goneCheck)
-	})
-	close(armed)
-	return func() {
-		close(done)
-		timer.Stop()
-	}
-}
--- a/services/gateway/gone.go
+++ b/services/gateway/gone.go
@@ -25,31 +25,7 @@
 	if !r.idempotent || r.idempotencyKey != "" {
 		return func() {}
 	}
-	raw := netpeek.Raw(conn)
-	if raw == nil {
-		return func() {}
-	}
-	done := make(chan struct{})
-	var timer *time.Timer
-	armed := make(chan struct{})
-	timer = time.AfterFunc(goneCheckInterval, func() {
-		<-armed
-		select {
-		case <-done:
-			return
-		default:
-		}
-		if netpeek.Closed(raw) {
-			cancel(errCallerGone)
-			return
-		}
-		timer.Reset(goneCheckInterval)
-	})
-	close(armed)
-	return func() {
-		close(done)
-		timer.Stop()
-	}
+	return netpeek.WatchClosed(conn, goneCheckInterval, func() { cancel(errCallerGone) })
 }
 
 // ended returns why a request's context is over.
