--- a/services/jobhost/runner.go
+++ b/services/jobhost/runner.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -11,7 +9,6 @@
 	"github.com/sourcegraph/conc"
 
 	"banyanwalk/core/jobs"
-	"banyanwalk/core/placement"
 	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/follow"
 	"banyanwalk/services/replicated"
@@ -156,116 +153,6 @@
 	}
 }
 
-// openItem is an item that could run now.
-type openItem struct {
-	job     *jobs.Job
-	seen    time.Time
-	partial jobs.Partial // that the log holds
-}
-
-// openItems returns the items that neither run nor pause, in the order in which
-// they are to run.
-func (r *runner) openItems(now time.Time) ([]jobs.Candidate, map[jobs.ItemRef]openItem) {
-	var order []jobs.Candidate
-	open := make(map[jobs.ItemRef]openItem)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.server.state.read(func(m *jobs.Machine, seen map[string]time.Time) {
-		for _, job := range m.Jobs() {
-			if !job.Unfinished() {
-				continue
-			}
-			due := seen[job.ID].Add(time.Duration(job.CompletionMS) * time.Millisecond)
-			for i := range job.Items {
-				ref := jobs.ItemRef{Job: job.ID, Item: i}
-				if !job.Open(i) || r.running[ref] != nil || r.results.pending(ref) {
-					continue
-				}
-				spent := time.Duration(0)
-				if p := r.pausing[ref]; p != nil {
-					if now.Before(p.notBefore) {
-						continue
-					}
-					spent = p.spent
-				}
-				open[ref] = openItem{job: job, seen: seen[job.ID], partial: job.Partial[i]}
-				order = append(order, jobs.Candidate{Ref: ref, Due: due, Remaining: r.pace.Remaining(job.Items[i].Tokens, spent)})
-			}
-		}
-	})
-	jobs.Order(now, order)
-	return order, open
-}
-
-// start runs an item at a target with a slot to spare, if there is one.
-func (r *runner) start(ctx context.Context, now time.Time, ref jobs.ItemRef, item openItem, full map[string]bool) {
-	job := item.job
-	work := &job.Items[ref.Item]
-	giveUp := item.seen.Add(time.Duration(job.MaxWaitMS)*time.Millisecond + waitMargin)
-	if job.MaxWaitMS > 0 && now.After(giveUp) {
-		r.giveUp(ref, "its time is over")
-		return
-	}
-	table := r.follower.Table()
-	if table == nil {
-		return
-	}
-	route := table.Route(job.Host, pathOf(work.Path))
-	if route == nil {
-		r.giveUp(ref, "its route is gone")
-		return
-	}
-	name := route.Pick(0)
-	if full[name] {
-		return
-	}
-	query := placement.Query{Service: name, Batch: true, Spare: spareSlots}
-	if service := table.Service(name); service != nil {
-		query.WarmupPerSecond = service.WarmupPerSecond
-	}
-	target, _ := r.follower.Targets.Acquire(now, query)
-	if target == nil {
-		full[name] = true
-		return
-	}
-	r.mu.Lock()
-	kept := r.pausing[ref]
-	if kept == nil {
-		kept = newProgress(item.partial)
-	}
-	delete(r.pausing, ref)
-	running, cancel := context.WithCancelCause(ctx)
-	started := &run{runner: r, ref: ref, target: target, progress: kept, began: now, cancel: cancel,
-		request: r.request(job, work, giveUp), tokens: work.Tokens, maxAttempts: job.MaxAttempts, failures: job.Failures[ref.Item]}
-	r.running[ref] = started
-	r.mu.Unlock()
-	r.started.Inc(1)
-	r.wg.Go(func() { started.execute(running) })
-}
-
-func pathOf(uri string) string {
-	for i := range uri {
-		if uri[i] == '?' {
-			return uri[:i]
-		}
-	}
-	return uri
-}
-
-// request returns what goes to the target of an item.
-func (r *runner) request(job *jobs.Job, item *jobs.Item, deadline time.Time) *targetcall.Request {
-	header := make(http.Header, len(item.Headers))
-	for _, h := range item.Headers {
-		if !targetcall.IsHop(h.Name, "") && !r.server.cfg.Dialect.IsOwn(h.Name) {
-			header[h.Name] = append(header[h.Name], h.Value)
-		}
-	}
-	return &targetcall.Request{
-		Method: http.MethodPost, URI: item.Path, Host: job.Host, Header: header, Body: item.Body,
-		ID: item.ID, Workspace: job.Workspace, Deadline: deadline,
-	}
-}
-
 // giveUp lists an item as abandoned.
 func (r *runner) giveUp(ref jobs.ItemRef, why string) {
 	r.log.Info("item_given_up", "job", ref.Job, "item", ref.Item, "reason", why)
@@ -290,45 +177,6 @@
 	})
 }
 
-// makeRoom gives slots to online requests that have come to full targets, and
-// keeps them free until the gateways' reports show the requests.
-func (r *runner) makeRoom(now time.Time, requests map[string]int) {
-	for id, count := range requests {
-		for range count {
-			r.follower.Targets.Hold(id, now.Add(holdFor))
-		}
-	}
-	r.take(requests)
-}
-
-// yield takes batch items away from targets where online requests wait.
-func (r *runner) yield() {
-	if crowded := r.follower.Targets.Crowded(0); len(crowded) > 0 {
-		r.take(crowded)
-	}
-}
-
-// take ends so many runs at each target, the youngest first. They go on later.
-func (r *runner) take(crowded map[string]int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	byTarget := make(map[string][]*run)
-	for _, running := range r.running {
-		if !running.ending {
-			byTarget[running.target.ID] = append(byTarget[running.target.ID], running)
-		}
-	}
-	for id, over := range crowded {
-		runs := byTarget[id]
-		slices.SortFunc(runs, func(a, b *run) int { return b.began.Compare(a.began) })
-		for _, victim := range runs[:min(over, len(runs))] {
-			r.yielded.Inc(1)
-			victim.ending = true
-			victim.cancel(errYielded)
-		}
-	}
-}
-
 func (r *runner) stopAll() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
