--- a/core/raft/open_histories_test.go
+++ b/core/raft/open_histories_test.go
@@ -1,8 +1,8 @@
 package raft
 
 import (
+	"bytes"
 	"encoding/binary"
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -106,6 +106,6 @@
 
 // holds reports whether a replica's log has a command.
 func holds(r *Raft, number uint64) bool {
-	want := fmt.Sprint(binary.BigEndian.AppendUint64(nil, number))
-	return slices.ContainsFunc(r.log.entries, func(e Entry) bool { return fmt.Sprint(e.Data) == want })
+	want := binary.BigEndian.AppendUint64(nil, number)
+	return slices.ContainsFunc(r.log.entries, func(e Entry) bool { return bytes.Equal(e.Data, want) })
 }
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -156,7 +156,7 @@
 		})
 	}
 	for range strayAnswers + 1 {
-		response, err := readFinal(a.conn, r.Method)
+		response, err := readFinal(a.conn, r.Method) //nolint:bodyclose // the body lives in the answer; Close ends its connection
 		if err != nil {
 			return broken("read", err)
 		}
--- a/tests/site/site_test.go
+++ b/tests/site/site_test.go
@@ -43,18 +43,16 @@
 
 // startSite runs a site of two gateways, three control and three storage hosts
 // with targets that behave as given.
-func startSite(t *testing.T, network int, behaviours ...standin.Behaviour) (*Site, []*standin.Target) {
+func startSite(t *testing.T, network int, behaviours ...standin.Behaviour) *Site {
 	s := New(binaries, t.TempDir(), network, 2, 3, 3)
 	t.Cleanup(func() {
 		s.Close()
 		assert.Empty(t, s.Faults())
 	})
 	require.NoError(t, s.Start())
-	var targets []*standin.Target
 	for i, b := range behaviours {
 		target, err := standin.NewTarget(fmt.Sprintf("t%d", i), platform.Dialect(), b)
 		require.NoError(t, err)
-		targets = append(targets, target)
 		s.AddTarget(target, target.Addr, "llm", 8)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
@@ -64,7 +62,7 @@
 	for _, g := range s.Role(Gateway) {
 		require.Eventually(t, func() bool { return s.Ready(g) }, patience, 20*time.Millisecond)
 	}
-	return s, targets
+	return s
 }
 
 // served asks until a request is answered with 200.
@@ -112,7 +110,7 @@
 // A site serves each kind of route, and goes on when its leaders are killed,
 // one of its storage hosts loses its disk and a gateway is restarted.
 func TestASiteServesThroughTheLossOfItsLeaders(t *testing.T) {
-	s, _ := startSite(t, 71, standin.Behaviour{Events: 20, Pause: 5 * time.Millisecond}, standin.Behaviour{Events: 20, Pause: 5 * time.Millisecond})
+	s := startSite(t, 71, standin.Behaviour{Events: 20, Pause: 5 * time.Millisecond}, standin.Behaviour{Events: 20, Pause: 5 * time.Millisecond})
 	gateways := s.Role(Gateway)
 	answer := served(t, s, gateways[0], "/ask/1", "first")
 	assert.Equal(t, 20, strings.Count(answer.Body, "data: "))
@@ -165,7 +163,7 @@
 // SIGHUP tells that the settings may have changed; control hosts once ended by
 // it (nsl-dakar-grown scale-2: exits of its own).
 func TestHangupsEndNoProcess(t *testing.T) {
-	s, _ := startSite(t, 72, standin.Behaviour{Events: 3})
+	s := startSite(t, 72, standin.Behaviour{Events: 3})
 	for range 3 {
 		for _, h := range s.Hosts {
 			h.Signal(syscall.SIGHUP)
