A token that was given back makes no sum run over

Cause (found while reading): what a process spent since its first report could become less than nothing when a token was given back, and run over to a huge sum that would empty every bucket. Change: it counts as nothing then; tested first.

--- a/services/director/board.go
+++ b/services/director/board.go
@@ -207,7 +207,9 @@
 			continue
 		}
 		for workspace, tokens := range s.tokens {
-			sum.Spent[workspace] += tokens - s.from[workspace]
+			if from := s.from[workspace]; tokens > from { // a token that was given back may leave less
+				sum.Spent[workspace] += tokens - from
+			}
 		}
 	}
 }
--- a/services/director/director_test.go
+++ b/services/director/director_test.go
@@ -193,6 +193,8 @@
 	seen := func(at time.Time) uint64 { return b.others(at, "g2").Spent["w"] }
 	report(now, 1, 1000)
 	assert.Equal(t, uint64(0), seen(now), "it had spent that before this host began")
+	report(now, 1, 999)
+	assert.Equal(t, uint64(0), seen(now), "a token was given back")
 	report(now, 1, 1100)
 	assert.Equal(t, uint64(100), seen(now))
 	later := now.Add(2 * memberSilence)
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -26,6 +26,9 @@
 	maxAnswerBytes = 32 << 20
 	// maxRefusals bounds the targets that may refuse one request.
 	maxRefusals = 6
+	// noTargetRetry is when a caller may come back that no target could take;
+	// slots get free every 100 ms.
+	noTargetRetry = 300 * time.Millisecond
 	eventStream = "text/event-stream"
 )
 
@@ -209,7 +212,7 @@
 	}
 }
 
-// choose waits for a target that can take the request.
+// choose gets a place at a target that can take the request.
 func (f *forwarding) choose() *outcome.Error {
 	s := f.server
 	service := f.call.table.Service(f.service)
@@ -247,8 +250,6 @@
 	return s.slots.acquire(ctx, request, q)
 }
 
-const noTargetRetry = 300 * time.Millisecond
-
 // outcomeSoFar is what is known of the request after the targets tried.
 func (f *forwarding) outcomeSoFar() outcome.Outcome {
 	if f.runs > 0 {
