--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -29,7 +29,7 @@
 	// noTargetRetry is when a caller may come back that no target could take;
 	// slots get free every 100 ms.
 	noTargetRetry = 300 * time.Millisecond
-	eventStream = "text/event-stream"
+	eventStream   = "text/event-stream"
 )
 
 var errCallerGone = errors.New("the caller closed its connection")
