An item leaves a target that has fallen silent

Change: after 3 s without an event an item goes on elsewhere after its last one. The test with a stand-in that falls silent failed before.

--- a/services/jobhost/jobhost_test.go
+++ b/services/jobhost/jobhost_test.go
@@ -177,6 +177,17 @@
 	}
 }
 
+// A target that falls silent without closing its connection holds no item for
+// ever (urbpadoms-grown mix, seed 227420791981: an item was left lying).
+func TestAnItemLeavesASilentTarget(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Events: 30, HangAfter: 5}, standin.Behaviour{Events: 30, HangAfter: 28})
+	require.NoError(t, f.submit("j", 1))
+	assert.Equal(t, text("j-0", 30), f.results("j", 1)[0].Text)
+	for _, r := range f.runs()[:1] {
+		assert.True(t, r.Gone, "its connection was closed")
+	}
+}
+
 func TestItemsThatCannotBeDone(t *testing.T) {
 	f := newFixture(t, standin.Behaviour{Status: http.StatusUnprocessableEntity})
 	require.NoError(t, f.submit("never", 1))
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -19,8 +19,14 @@
 	errClosed     = errors.New("the item is not open any more")
 	errYielded    = errors.New("an online request needs the slot")
 	errNotLeading = errors.New("this host does not lead any more")
+	errSilent     = errors.New("the target has fallen silent")
 )
 
+// silenceTimeout is after how long without an event an item goes on elsewhere.
+// Events come every 20 ms, and within a second also from a target that is
+// several times slower and makes the item wait for its slot.
+const silenceTimeout = 3 * time.Second
+
 // maxErrorBytes of a failed answer are read.
 const maxErrorBytes = 64 << 10
 
@@ -60,6 +66,8 @@
 		r.follower.Targets.Succeeded(u.target.ID)
 		r.results.add(jobs.Finished{ItemRef: u.ref, State: jobs.Completed, Text: u.progress.whole()})
 		r.ended(u, false)
+	case errors.Is(cause, errSilent):
+		u.broken(err)
 	case cause != nil:
 		r.ended(u, !errors.Is(cause, errClosed))
 	case status == http.StatusUnprocessableEntity:
@@ -101,6 +109,8 @@
 // exchange reads the events of the item into its progress. The status is that
 // of the answer, or 0.
 func (u *run) exchange(ctx context.Context) (status int, err error) {
+	silence := time.AfterFunc(silenceTimeout, func() { u.cancel(errSilent) })
+	defer silence.Stop()
 	answer, err := u.runner.caller.Do(ctx, u.target, u.request)
 	if err != nil {
 		var failure *targetcall.Failure
@@ -123,6 +133,7 @@
 		if err != nil {
 			return 0, err
 		}
+		silence.Reset(silenceTimeout)
 		if err := u.progress.add(event); err != nil {
 			return 0, err
 		}
--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -25,6 +25,7 @@
 	Events      int           // of a stream; 0: a whole answer
 	BreakAfter  int           // close the connection after so many events; 0: never
 	Torn        bool          // with BreakAfter: in the middle of the next event
+	HangAfter   int           // fall silent after so many events, until the caller leaves; 0: never
 	NoSignature bool          // leave the signature out
 	Pause       time.Duration // between two events, and before a whole answer
 	Stray       bool          // answer another request first
@@ -171,6 +172,9 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
+		if b.HangAfter > 0 && sent == b.HangAfter {
+			<-r.Context().Done()
+		}
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(run.ID, n))
 		if flush() != nil || !wait(r.Context(), b.Pause) {
 			t.mu.Lock()
