--- a/services/director/follow.go
+++ b/services/director/follow.go
@@ -155,7 +155,7 @@
 func (s *Server) controls() []string {
 	status := s.group.Replica().Status()
 	var addrs []string
-	for _, set := range [][]uint64{ids(status.Voters), ids(status.Outgoing), ids(status.Learners)} {
+	for _, set := range [][]uint64{replicated.IDs(status.Voters), replicated.IDs(status.Outgoing), replicated.IDs(status.Learners)} {
 		for _, id := range set {
 			if addr, found := replicated.Addr(id); found {
 				addrs = append(addrs, addr)
--- a/services/director/storage.go
+++ b/services/director/storage.go
@@ -8,7 +8,6 @@
 
 	"banyanwalk/core/catalog"
 	"banyanwalk/core/outcome"
-	"banyanwalk/core/raft"
 	"banyanwalk/infra/rpc"
 )
 
@@ -158,11 +157,3 @@
 	}
 	return newest
 }
-
-func ids(replicas []raft.ReplicaID) []uint64 {
-	all := make([]uint64, 0, len(replicas))
-	for _, r := range replicas {
-		all = append(all, r.ID)
-	}
-	return all
-}
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -15,7 +15,6 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"banyanwalk/core/jobs"
-	"banyanwalk/core/raft"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
 	"banyanwalk/infra/wire"
@@ -101,19 +100,11 @@
 	status := group.Replica().Status()
 	state.Leads = status.IsLeader
 	state.Term = status.Term
-	state.Voters = append(ids(status.Voters), ids(status.Outgoing)...)
-	state.Learners = ids(status.Learners)
+	state.Voters = append(replicated.IDs(status.Voters), replicated.IDs(status.Outgoing)...)
+	state.Learners = replicated.IDs(status.Learners)
 	return state
 }
 
-func ids(replicas []raft.ReplicaID) []uint64 {
-	all := make([]uint64, 0, len(replicas))
-	for _, r := range replicas {
-		all = append(all, r.ID)
-	}
-	return all
-}
-
 // Run serves on l until ctx ends.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	group, err := s.open(ctx)
--- a/services/replicated/group.go
+++ b/services/replicated/group.go
@@ -17,6 +17,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/raft"
 	"banyanwalk/infra/rafttransport"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
@@ -79,6 +80,15 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(ip), port).String(), id != 0
 }
 
+// IDs returns the replica ids of hosts, without their incarnations.
+func IDs(replicas []raft.ReplicaID) []uint64 {
+	all := make([]uint64, 0, len(replicas))
+	for _, r := range replicas {
+		all = append(all, r.ID)
+	}
+	return all
+}
+
 // Open recovers the replica of this host or creates it.
 func Open[R any](cfg Config, machine replica.StateMachine) (*Group[R], error) {
 	id, err := ID(cfg.Addr)
