Drop readiness that nobody asks for

Cause: director and jobhost had Ready methods that no program calls; the provider asks gateways alone. Change: removed.

--- a/services/director/director.go
+++ b/services/director/director.go
@@ -213,11 +213,3 @@
 	case roster.Renewed:
 	}
 }
-
-// Ready returns the reason why this host takes no orders, or nil.
-func (s *Server) Ready() error {
-	if s.group.Replica().Status().Leader == 0 {
-		return errors.New("no leader is known")
-	}
-	return nil
-}
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc/pool"
 
@@ -136,11 +135,3 @@
 	p.Go(func() error { return s.review(ctx, group) })
 	return p.Wait()
 }
-
-// Ready returns the reason why this host serves no calls, or nil.
-func (s *Server) Ready() error {
-	if s.group.Load() == nil {
-		return errors.New("the job group is not open yet")
-	}
-	return nil
-}
