--- a/cmd/banyan-site-control/main.go
+++ b/cmd/banyan-site-control/main.go
@@ -1,25 +1,35 @@
 // Command banyan-site-control runs a control host of a site: operators' orders,
-// targets' reports and the replicated catalog.
+// targets' reports and the replicated catalog. On a host without a disk it
+// sends callers on to those that have one.
 package main
 
 import (
 	"context"
+	"slices"
+	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
 
 	"banyanwalk/cmd/internal/site"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/platform"
 	"banyanwalk/services/director"
+	"banyanwalk/services/follow"
+	"banyanwalk/services/relay"
+	"banyanwalk/services/replicated"
 )
 
+// findTimeout bounds the time in which a host that joins asks its seeds for
+// the others; operators give up a host after a second.
+const findTimeout = 1 * time.Second
+
 func main() {
 	site.Main("banyan-site-control", "control host of a site: orders, reports and the catalog", run)
 }
 
 func run(ctx context.Context, p *site.Process) error {
 	if p.Settings.DataDir == "" {
-		return errors.New("a control host needs a disk: data_dir is empty")
+		return runRelay(ctx, p)
 	}
 	orders, err := site.Listen("operators", p.Settings.Operators)
 	if err != nil {
@@ -29,12 +39,13 @@
 	if err != nil {
 		return err
 	}
+	joining := !p.Settings.FirstStart || !p.Settings.IsSeed()
 	control, err := director.New(director.Config{
 		Name:       p.Settings.Host,
 		DataCentre: p.Settings.DataCentre,
 		Addr:       p.Settings.ControlWire,
-		Founders:   p.Settings.ControlSeeds,
-		Joining:    !p.Settings.FirstStart || !p.Settings.IsSeed(),
+		Founders:   peers(ctx, p, joining),
+		Joining:    joining,
 		Voters:     p.Settings.Voters(),
 		DataDir:    p.Settings.DataDir,
 		Log:        p.Log,
@@ -54,3 +65,52 @@
 	})
 	return tasks.Wait()
 }
+
+// peers returns the control hosts that this one founds the catalog's group with
+// or asks to join it. The seeds of a host that joins may be relays, which know
+// the control hosts. A host whose disk holds the group knows its members.
+func peers(ctx context.Context, p *site.Process, joining bool) []string {
+	seeds := p.Settings.ControlSeeds
+	if !joining || replicated.HasState(p.Settings.DataDir) {
+		return seeds
+	}
+	bounded, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	named := follow.FindControls(bounded, controlMember(p), seeds, nil)
+	p.Log.Info("controls_found", "seeds", len(seeds), "named", len(named))
+	all := append(slices.Clone(seeds), named...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// controlMember tells a control process apart from the gateway of its host.
+func controlMember(p *site.Process) rpc.Member {
+	return rpc.Member{Name: p.Settings.Host + "/control", Role: rpc.RoleControl, DataCentre: p.Settings.DataCentre}
+}
+
+// runRelay serves on a host without a disk.
+func runRelay(ctx context.Context, p *site.Process) error {
+	orders, err := site.Listen("operators", p.Settings.Operators)
+	if err != nil {
+		return err
+	}
+	wire, err := site.Listen("the site's processes", p.Settings.ControlWire)
+	if err != nil {
+		return err
+	}
+	config := p.FollowConfig(controlMember(p))
+	config.WithoutSums = true
+	follower := follow.New(config)
+	server := relay.New(follower, p.Log)
+	tasks := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	tasks.Go(follower.Run)
+	tasks.Go(func(ctx context.Context) error { return server.Run(ctx, wire) })
+	tasks.Go(func(ctx context.Context) error {
+		p.WatchSettings(ctx, follower)
+		return nil
+	})
+	tasks.Go(func(ctx context.Context) error {
+		return site.ServeHTTP(ctx, orders, platform.RelayHandler(server.Control, p.Settings.Operators))
+	})
+	return tasks.Wait()
+}
--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -95,17 +95,23 @@
 
 // Follower returns the view of a process with the given role.
 func (p *Process) Follower(role string, storage func() *rpc.StorageState, broker func() uint64) *follow.Follower {
-	return follow.New(follow.Config{
-		Member:  rpc.Member{Name: p.Settings.Host, Role: role, DataCentre: p.Settings.DataCentre},
-		Storage: storage,
-		Broker:  broker,
-		Seeds:   p.Settings.ControlSeeds,
+	config := p.FollowConfig(rpc.Member{Name: p.Settings.Host, Role: role, DataCentre: p.Settings.DataCentre})
+	config.Storage = storage
+	config.Broker = broker
+	return follow.New(config)
+}
+
+// FollowConfig returns what the view of a member begins with.
+func (p *Process) FollowConfig(member rpc.Member) follow.Config {
+	return follow.Config{
+		Member: member,
+		Seeds:  p.Settings.ControlSeeds,
 		Decode: func(body []byte) (*routing.Document, error) {
 			document, _, err := platform.DecodeDocument(body)
 			return document, err
 		},
 		Log: p.Log,
-	})
+	}
 }
 
 // WatchSettings reads the settings file again on SIGHUP, until ctx ends. f is
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -100,6 +100,7 @@
 	Stores   []Member       `msgpack:"m,omitempty"` // storage hosts that were heard of late, if any has changed
 	Others   *Others        `msgpack:"u,omitempty"` // if asked for
 	Controls []string       `msgpack:"o,omitempty"` // wire addresses of the control hosts
+	Relay    bool           `msgpack:"y,omitempty"` // the sender is no control host: it knows nothing but Controls
 }
 
 // Proposal is a command for the leader of a group.
--- a/services/director/board.go
+++ b/services/director/board.go
@@ -180,7 +180,7 @@
 	sum := &rpc.Others{Host: b.life, Spent: make(map[string]uint64), Loads: make(map[string]placement.Load), Debts: make(map[string]float64), Broker: b.broker(now)}
 	b.addSpent(sum, name)
 	for member, m := range b.members {
-		if member == name || now.Sub(m.heard) > loadSilence {
+		if member == name || now.Sub(m.heard) > loadSilence || m.load.Member.Role == rpc.RoleControl {
 			continue
 		}
 		sum.Count++
--- /dev/null
+++ b/services/follow/controls.go
@@ -0,0 +1,67 @@
+package follow
+
+import (
+	"context"
+	"crypto/tls"
+	"slices"
+	"sync"
+
+	"github.com/sourcegraph/conc"
+
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
+)
+
+// FindControls asks the seeds which control hosts there are and returns the
+// wire addresses that those have named which answer until ctx ends, sorted.
+// member describes the process that asks.
+func FindControls(ctx context.Context, member rpc.Member, seeds []string, tlsConfig *tls.Config) []string {
+	var mu sync.Mutex
+	var found []string
+	var wg conc.WaitGroup
+	for _, seed := range seeds {
+		wg.Go(func() {
+			controls, err := askControls(ctx, member, seed, tlsConfig)
+			if err != nil {
+				return // it is down or cut off; the others answer
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			found = append(found, controls...)
+		})
+	}
+	wg.Wait()
+	slices.Sort(found)
+	return slices.Compact(found)
+}
+
+// askControls reads the first list of control hosts that a seed pushes.
+func askControls(ctx context.Context, member rpc.Member, seed string, tlsConfig *tls.Config) ([]string, error) {
+	conn, err := wire.Dial(ctx, seed, tlsConfig)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	stream, err := conn.Open(ctx, rpc.MethodFollow)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	if until, bounded := ctx.Deadline(); bounded {
+		if err := stream.SetDeadline(until); err != nil {
+			return nil, err
+		}
+	}
+	if err := stream.Send(&rpc.FollowPing{Load: rpc.MemberLoad{Member: member}}); err != nil {
+		return nil, err
+	}
+	for {
+		var push rpc.FollowPush
+		if err := stream.Recv(&push); err != nil {
+			return nil, err
+		}
+		if len(push.Controls) > 0 {
+			return push.Controls, nil
+		}
+	}
+}
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -49,6 +49,8 @@
 	Decode  func(body []byte) (*routing.Document, error) // the canonical encoding of a document
 	TLS     *tls.Config
 	Log     *telemetry.Log
+	// WithoutSums is set for processes that do not need to know what the others do.
+	WithoutSums bool
 }
 
 // Follower is the view of one process. It is safe for concurrent use.
@@ -120,6 +122,30 @@
 // Catalog returns the newest catalog. It must not be changed.
 func (f *Follower) Catalog() *catalog.State { return f.catalog.Load() }
 
+// Controls returns the wire addresses of the control hosts that were heard of
+// late, sorted.
+func (f *Follower) Controls() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	var heard []string
+	for addr, at := range f.pushed {
+		if now.Sub(at) <= primarySilence {
+			heard = append(heard, addr)
+		}
+	}
+	slices.Sort(heard)
+	return heard
+}
+
+// Follows reports whether the control host at a wire address is followed, also
+// while it is not reached.
+func (f *Follower) Follows(addr string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.controls[addr]
+}
+
 // Changed returns a channel that is closed at the next change of the view.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mu.Lock()
@@ -259,11 +285,11 @@
 func (f *Follower) asksOthers(addr string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.primary == addr
+	return f.primary == addr && !f.cfg.WithoutSums
 }
 
 func (f *Follower) checkDeaf(now time.Time) {
-	deaf := now.Sub(f.summed) > deafAfter
+	deaf := !f.cfg.WithoutSums && now.Sub(f.summed) > deafAfter
 	if deaf == f.deaf {
 		return
 	}
--- a/services/follow/merge.go
+++ b/services/follow/merge.go
@@ -13,6 +13,9 @@
 // Take merges one push of the control host from. Feeds call it.
 func (f *Follower) Take(now time.Time, from string, push *rpc.FollowPush) {
 	f.Seed(push.Controls)
+	if push.Relay {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.newest = now
--- a/services/jobhost/membership.go
+++ b/services/jobhost/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"slices"
 	"time"
 
@@ -48,8 +47,7 @@
 // awaitFounders waits for the founders of the group. A host with state need not
 // wait: its log names the others.
 func (s *Server) awaitFounders(ctx context.Context) (founders []uint64, known bool) {
-	entries, err := os.ReadDir(s.cfg.DataDir)
-	hasState := err == nil && len(entries) > 0
+	hasState := replicated.HasState(s.cfg.DataDir)
 	for {
 		changed := s.cfg.Follower.Changed()
 		if founders := s.cfg.Follower.Catalog().Founders; len(founders) > 0 {
--- a/services/replicated/group.go
+++ b/services/replicated/group.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"math"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -89,6 +90,13 @@
 	return all
 }
 
+// HasState reports whether a data folder holds a replica. Its log names the
+// other members of the group.
+func HasState(dir string) bool {
+	entries, err := os.ReadDir(dir)
+	return err == nil && len(entries) > 0
+}
+
 // Open recovers the replica of this host or creates it.
 func Open[R any](cfg Config, machine replica.StateMachine) (*Group[R], error) {
 	id, err := ID(cfg.Addr)
