The settings file is read again when it changes without a signal

Ruled out: a watch by the kernel (inotify): one more descriptor and thread for a file that is read in microseconds.

Change: WatchSettings compares the file with what it knows every 2 s. Tests over real processes: a changed file is read (fails before: not within 60 s); a control host without a disk sends callers on, and a gateway whose only seed it is serves. Host.Fields and Site.NewHost of tests/site lay such hosts out.

Conclusion: done; the log line tells whether a signal came.

--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -4,6 +4,7 @@
 package site
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"os"
@@ -34,6 +35,9 @@
 	memoryShare = 0.7
 	// stopTimeout bounds the end of the HTTP listeners beside the main one.
 	stopTimeout = 200 * time.Millisecond
+	// settingsInterval is the pause between two looks at the settings file, which
+	// may change without a signal; only the seeds in it change.
+	settingsInterval = 2 * time.Second
 )
 
 // Process is one program of a site.
@@ -42,10 +46,11 @@
 	Log      *telemetry.Log
 	Metrics  metrics.Registry
 
-	program     string
-	metricsPort int
-	out         *telemetry.AsyncWriter
-	hangups     chan os.Signal
+	program      string
+	settingsFile []byte // as it was read at the start
+	metricsPort  int
+	out          *telemetry.AsyncWriter
+	hangups      chan os.Signal
 }
 
 // Main runs a program until it is told to stop, and ends the process.
@@ -60,11 +65,15 @@
 }
 
 func start(program string, port int, level string, run func(ctx context.Context, p *Process) error) error {
-	loaded, err := platform.LoadSettings()
+	file, err := platform.ReadSettings()
 	if err != nil {
 		return err
 	}
-	p := &Process{Settings: loaded, Metrics: metrics.NewRegistry(), program: program, metricsPort: port,
+	loaded, err := platform.ParseSettings(file)
+	if err != nil {
+		return errors.Wrap(err, "settings file "+os.Getenv(platform.SettingsVariable))
+	}
+	p := &Process{Settings: loaded, settingsFile: file, Metrics: metrics.NewRegistry(), program: program, metricsPort: port,
 		out: telemetry.NewAsyncWriter(os.Stdout), hangups: make(chan os.Signal, 1)}
 	p.Log, err = telemetry.NewLog(telemetry.Options{Process: program + "/" + loaded.Host, DataCentre: loaded.DataCentre, Level: level, Output: p.out})
 	if err != nil {
@@ -114,25 +123,39 @@
 	}
 }
 
-// WatchSettings reads the settings file again on SIGHUP, until ctx ends. f is
-// told the new seeds; a control host has none and needs none, as its log names
-// the others.
+// WatchSettings reads the settings file again on SIGHUP and when it has
+// changed, until ctx ends. f is told the new seeds; a control host has none and
+// needs none, as its log names the others.
 func (p *Process) WatchSettings(ctx context.Context, f *follow.Follower) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	known := p.settingsFile
 	for {
+		signalled := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.hangups:
+			signalled = true
+		case <-ticker.C:
+		}
+		file, err := platform.ReadSettings()
+		if !signalled && err == nil && bytes.Equal(file, known) {
+			continue
+		}
+		known = file
+		var loaded *platform.Settings
+		if err == nil {
+			loaded, err = platform.ParseSettings(file)
 		}
-		loaded, err := platform.LoadSettings()
 		if err != nil {
-			p.Log.Warn("settings_reload_failed", "error", err)
+			p.Log.Warn("settings_reload_failed", "signalled", signalled, "error", err)
 			continue
 		}
 		if f != nil {
 			f.Seed(loaded.ControlSeeds)
 		}
-		p.Log.Info("settings_reloaded", "seeds", len(loaded.ControlSeeds))
+		p.Log.Info("settings_reloaded", "signalled", signalled, "seeds", len(loaded.ControlSeeds))
 	}
 }
 
--- a/tests/site/harness.go
+++ b/tests/site/harness.go
@@ -98,6 +98,14 @@
 	return hosts
 }
 
+// NewHost returns a host beyond those that the site was laid out with, which
+// the caller starts and ends. number tells it apart.
+func (s *Site) NewHost(role string, number int, fields map[string]any) *Host {
+	ip := s.Hosts[0].IP
+	return &Host{Name: fmt.Sprintf("%s-%d", role, number), Role: role, Fields: fields, site: s,
+		IP: fmt.Sprintf("%s.%d", ip[:strings.LastIndex(ip, ".")], number)}
+}
+
 // Close ends all processes and targets.
 func (s *Site) Close() {
 	for _, h := range s.Hosts {
--- a/tests/site/host.go
+++ b/tests/site/host.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -20,6 +21,9 @@
 	Name string
 	Role string
 	IP   string
+	// Fields replace fields of the provider's file from the next start or
+	// WriteSettings on.
+	Fields map[string]any
 
 	site    *Site
 	harmed  sync.Mutex // held from the end of the process until its next start
@@ -47,23 +51,31 @@
 			index = i
 		}
 	}
-	return json.Marshal(map[string]any{
+	file := map[string]any{
 		"node_name": h.Name, "ip": h.IP, "zone": h.site.zones[index%len(h.site.zones)], "bootstrap": h.first,
 		"listen":     map[string]string{"frontend": at(frontendPort), "readiness": at(readinessPort), "control_plane": at(operatorsPort)},
 		"port_range": []int{firstWirePort, lastWirePort}, "seed_nodes": seeds, "data_dir": h.dataDir(),
 		"limits": map[string]any{"memory_mb": 256}, "fault_tolerance": map[string]any{"machines": 1},
 		"bounds": map[string]any{"grace_s": 8, "status_s": 120},
-	})
+	}
+	maps.Copy(file, h.Fields)
+	return json.Marshal(file)
 }
 
-// Start starts the process of a host.
-func (h *Host) Start() error {
+func (h *Host) settingsFile() string { return filepath.Join(h.site.dir, h.Name+".json") }
+
+// WriteSettings writes the provider's file of the host.
+func (h *Host) WriteSettings() error {
 	settings, err := h.settings()
 	if err != nil {
 		return err
 	}
-	file := filepath.Join(h.site.dir, h.Name+".json")
-	if err := os.WriteFile(file, settings, 0o600); err != nil {
+	return os.WriteFile(h.settingsFile(), settings, 0o600)
+}
+
+// Start starts the process of a host.
+func (h *Host) Start() error {
+	if err := h.WriteSettings(); err != nil {
 		return err
 	}
 	if err := os.MkdirAll(h.dataDir(), 0o700); err != nil {
@@ -75,7 +87,7 @@
 	}
 	defer log.Close()
 	command := exec.Command(filepath.Join(h.site.binaries, "banyan-site-"+h.Role))
-	command.Env = append(os.Environ(), platform.SettingsVariable+"="+file)
+	command.Env = append(os.Environ(), platform.SettingsVariable+"="+h.settingsFile())
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return errors.Wrap(err, h.Name)
--- a/tests/site/site_test.go
+++ b/tests/site/site_test.go
@@ -179,6 +179,39 @@
 	}
 }
 
+// The settings file may change without a signal.
+func TestAChangedSettingsFileIsRead(t *testing.T) {
+	s := startSite(t, 73, standin.Behaviour{Events: 3})
+	host := s.Role(Gateway)[0]
+	host.Fields = map[string]any{"of_the_future": true}
+	require.NoError(t, host.WriteSettings())
+	assert.Eventually(t, func() bool {
+		log, err := os.ReadFile(host.Log())
+		return err == nil && strings.Contains(string(log), "msg=settings_reloaded")
+	}, patience, 20*time.Millisecond)
+}
+
+// A control process on a host without a disk sends callers on.
+func TestAControlHostWithoutADiskSendsCallersOn(t *testing.T) {
+	s := startSite(t, 74, standin.Behaviour{Events: 3})
+	relay := s.NewHost(Control, 200, map[string]any{"data_dir": nil})
+	require.NoError(t, relay.Start())
+	t.Cleanup(relay.Kill)
+	version, body := s.Configuration("llm")
+	require.Eventually(t, func() bool {
+		status, _, err := s.Operate(relay, http.MethodPost, "/v1/configuration/replace", body)
+		return err == nil && status == http.StatusOK
+	}, patience, 20*time.Millisecond)
+	status, read, err := s.Operate(s.Role(Control)[0], http.MethodGet, "/v1/configuration/read", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	assert.Contains(t, string(read), fmt.Sprintf(`"version":%d`, version))
+	seeded := s.NewHost(Gateway, 201, map[string]any{"seed_nodes": []string{fmt.Sprintf("%s:%d", relay.IP, operatorsPort)}})
+	require.NoError(t, seeded.Start())
+	t.Cleanup(seeded.Kill)
+	served(t, s, seeded, "/ask/1", "seeded")
+}
+
 func TestAProgramWithWrongSettingsNamesThem(t *testing.T) {
 	file := t.TempDir() + "/local.json"
 	require.NoError(t, os.WriteFile(file, []byte(`{"node_name":"n","ip":"here","port_range":[1,2],"bounds":{"grace_s":0}}`), 0o600))
