strict_revoke: a gateway refuses what it cannot confirm

Ruled out: the age of the last push as the bound: a control host that is cut off with the gateway pushes too. The clock of package time: it stands still while a machine is suspended.

Change: with strict_revoke a control host lets a quorum confirm its catalog five times per revoke_ms and pushes the age of the last confirmation; entry refuses with 503 (not run, with a time to come back) once that is older, in boottime (infra/boottime).

With strict_revoke false nothing changes.

Conclusion: obeyed; costs what is refused while control is away.

--- a/cmd/banyan-site-control/main.go
+++ b/cmd/banyan-site-control/main.go
@@ -23,6 +23,10 @@
 // the others; operators give up a host after a second.
 const findTimeout = 1 * time.Second
 
+// confirmsPerBound is how often the catalog is confirmed within the time that a
+// gateway may act on an unconfirmed one, so that one failure does no harm.
+const confirmsPerBound = 5
+
 func main() {
 	site.Main("banyan-site-control", "control host of a site: orders, reports and the catalog", run)
 }
@@ -41,15 +45,16 @@
 	}
 	joining := !p.Settings.FirstStart || !p.Settings.IsSeed()
 	control, err := director.New(director.Config{
-		Name:       p.Settings.Host,
-		DataCentre: p.Settings.DataCentre,
-		Addr:       p.Settings.ControlWire,
-		Founders:   peers(ctx, p, joining),
-		Joining:    joining,
-		Voters:     p.Settings.Voters(),
-		DataDir:    p.Settings.DataDir,
-		Log:        p.Log,
-		Metrics:    p.Metrics,
+		Name:         p.Settings.Host,
+		DataCentre:   p.Settings.DataCentre,
+		Addr:         p.Settings.ControlWire,
+		Founders:     peers(ctx, p, joining),
+		Joining:      joining,
+		Voters:       p.Settings.Voters(),
+		DataDir:      p.Settings.DataDir,
+		ConfirmEvery: p.Settings.RefuseStaleAfter / confirmsPerBound,
+		Log:          p.Log,
+		Metrics:      p.Metrics,
 	})
 	if err != nil {
 		return err
--- a/cmd/banyan-site-gateway/main.go
+++ b/cmd/banyan-site-gateway/main.go
@@ -27,14 +27,15 @@
 	}
 	follower := p.Follower(rpc.RoleGateway, nil, nil)
 	gateway := entry.New(entry.Config{
-		Name:       p.Settings.Host,
-		DataCentre: p.Settings.DataCentre,
-		Follower:   follower,
-		Dialect:    platform.Dialect(),
-		Jobs:       platform.JobCalls{},
-		Log:        p.Log,
-		Metrics:    p.Metrics,
-		Grace:      p.Settings.Grace,
+		Name:             p.Settings.Host,
+		DataCentre:       p.Settings.DataCentre,
+		Follower:         follower,
+		Dialect:          platform.Dialect(),
+		Jobs:             platform.JobCalls{},
+		Log:              p.Log,
+		Metrics:          p.Metrics,
+		Grace:            p.Settings.Grace,
+		RefuseStaleAfter: p.Settings.RefuseStaleAfter,
 	})
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -100,7 +100,10 @@
 	Stores   []Member       `msgpack:"m,omitempty"` // storage hosts that were heard of late, if any has changed
 	Others   *Others        `msgpack:"u,omitempty"` // if asked for
 	Controls []string       `msgpack:"o,omitempty"` // wire addresses of the control hosts
-	Relay    bool           `msgpack:"y,omitempty"` // the sender is no control host: it knows nothing but Controls
+	// Confirmed is how long ago, in milliseconds, a quorum confirmed that the
+	// sender's catalog was current; nil if it is not told.
+	Confirmed *int64 `msgpack:"f,omitempty"`
+	Relay     bool   `msgpack:"y,omitempty"` // the sender is no control host: it knows nothing but Controls
 }
 
 // Proposal is a command for the leader of a group.
--- a/services/director/director.go
+++ b/services/director/director.go
@@ -19,6 +19,7 @@
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
+	"banyanwalk/infra/boottime"
 	"banyanwalk/infra/pause"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
@@ -49,10 +50,14 @@
 	Joining    bool     // the group exists already
 	Voters     int      // control hosts and storage hosts that are to have a vote in their groups
 	DataDir    string
-	ServerTLS  *tls.Config
-	ClientTLS  *tls.Config
-	Log        *telemetry.Log
-	Metrics    metrics.Registry
+	// ConfirmEvery is the pause between two confirmations of the catalog by a
+	// quorum, for followers that must refuse when theirs is too old; 0: only
+	// after the start.
+	ConfirmEvery time.Duration
+	ServerTLS    *tls.Config
+	ClientTLS    *tls.Config
+	Log          *telemetry.Log
+	Metrics      metrics.Registry
 }
 
 // Server is one control host. It is safe for concurrent use.
@@ -66,7 +71,10 @@
 	reports map[roster.Verdict]metrics.Counter
 	founder founder
 	started time.Time
-	current atomic.Bool // the catalog here holds all that was acknowledged before this life of the host
+	// confirmed is when the last read that a quorum has confirmed began, in
+	// boottime; 0: the catalog here may be older than what was acknowledged
+	// before this life of the host.
+	confirmed atomic.Int64
 }
 
 // New opens the catalog's replica of this host.
@@ -125,28 +133,55 @@
 	})
 	p.Go(func() error { return s.housekeep(ctx) })
 	p.Go(func() error {
-		s.catchUp(ctx)
+		s.confirm(ctx)
 		return nil
 	})
 	return p.Wait()
 }
 
-// catchUp waits until a quorum confirms that the catalog here is not older than
-// what was acknowledged before this host started. A log on disk does not tell
-// which of its last entries are committed.
-func (s *Server) catchUp(ctx context.Context) {
+// confirm waits until a quorum confirms that the catalog here is not older than
+// what was acknowledged before this host started: a log on disk does not tell
+// which of its last entries are committed. It goes on if followers must know
+// how current they are.
+func (s *Server) confirm(ctx context.Context) {
 	for ctx.Err() == nil {
-		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
-		err := s.group.Confirm(bounded)
-		cancel()
-		if err == nil {
-			s.current.Store(true)
-			s.log.Info("catalog_current", "version", s.state.state().Version, "after_ms", time.Since(s.started).Milliseconds())
-			s.board.signal()
+		if !s.confirmOnce(ctx) {
+			pause.For(ctx, confirmPause)
+			continue
+		}
+		if s.cfg.ConfirmEvery == 0 {
 			return
 		}
-		pause.For(ctx, confirmPause)
+		pause.For(ctx, s.cfg.ConfirmEvery)
+	}
+}
+
+func (s *Server) confirmOnce(ctx context.Context) bool {
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	began := boottime.Now()
+	if err := s.group.Confirm(bounded); err != nil {
+		return false // no quorum; the time since the last confirmation tells how long
+	}
+	if s.confirmed.Swap(int64(began)) == 0 {
+		s.log.Info("catalog_current", "version", s.state.state().Version, "after_ms", time.Since(s.started).Milliseconds())
+		s.board.signal()
+	}
+	return true
+}
+
+// isCurrent reports whether the catalog holds all that was acknowledged before
+// this host started.
+func (s *Server) isCurrent() bool { return s.confirmed.Load() != 0 }
+
+// confirmedAge returns how long ago the catalog was confirmed, in milliseconds,
+// or nil if followers need not know.
+func (s *Server) confirmedAge() *int64 {
+	if s.cfg.ConfirmEvery == 0 || !s.isCurrent() {
+		return nil
 	}
+	age := boottime.Since(boottime.Instant(s.confirmed.Load())).Milliseconds()
+	return &age
 }
 
 // housekeep forgets the silent, and does what only the leader does.
--- a/services/director/follow.go
+++ b/services/director/follow.go
@@ -105,7 +105,7 @@
 func (p *pusher) send(now time.Time) error {
 	push := rpc.FollowPush{}
 	push.Targets, p.revision = p.server.board.since(now, p.revision)
-	if packed := p.server.state.packed.Load(); packed.State.Revision > p.catalog && p.server.current.Load() {
+	if packed := p.server.state.packed.Load(); packed.State.Revision > p.catalog && p.server.isCurrent() {
 		push.Catalog = packed
 		p.catalog = packed.State.Revision
 	}
@@ -120,6 +120,7 @@
 		return nil
 	}
 	p.sent = now
+	push.Confirmed = p.server.confirmedAge()
 	return p.stream.Send(&push)
 }
 
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -60,7 +60,10 @@
 	Log        *telemetry.Log
 	Metrics    metrics.Registry
 	Grace      time.Duration // from the order to stop until the process must have ended
-	Notice     time.Duration // that the balancer needs to see that a gateway stops; 0: NoticeTime
+	// RefuseStaleAfter is how old the last confirmation of the document may be
+	// before requests are refused; 0: the gateway serves on with what it has.
+	RefuseStaleAfter time.Duration
+	Notice           time.Duration // that the balancer needs to see that a gateway stops; 0: NoticeTime
 }
 
 // Server is one gateway.
@@ -105,9 +108,17 @@
 	if s.follower.Table() == nil {
 		return errors.New("no document is known yet")
 	}
+	if s.isStale() {
+		return errors.New("the document may be out of date")
+	}
 	return nil
 }
 
+// isStale reports whether the document is too old to act on.
+func (s *Server) isStale() bool {
+	return s.cfg.RefuseStaleAfter > 0 && s.follower.StaleFor() > s.cfg.RefuseStaleAfter
+}
+
 // Serve answers callers on l until ctx ends. The gateway then reports itself
 // as not ready, goes on serving until the balancer has noticed, lets running
 // requests finish and ends within the grace.
--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -74,6 +74,11 @@
 }
 
 func newFixture(t *testing.T, behaviours ...standin.Behaviour) *fixture {
+	return newFixtureWith(t, func(*Config) {}, behaviours...)
+}
+
+// newFixtureWith lets the test change the settings of the gateway.
+func newFixtureWith(t *testing.T, change func(*Config), behaviours ...standin.Behaviour) *fixture {
 	f := &fixture{t: t, ended: make(chan error, 1)}
 	f.follower = follow.New(follow.Config{
 		Member: rpc.Member{Name: "g", Role: rpc.RoleGateway, DataCentre: "a"},
@@ -91,8 +96,10 @@
 		}})
 	}
 	f.follower.Take(time.Now(), "test", push)
-	f.gateway = New(Config{Name: "g", DataCentre: "a", Follower: f.follower, Dialect: dialect, Jobs: noJobs{},
-		Log: telemetry.Discard(), Metrics: metrics.NewRegistry(), Grace: 8 * time.Second, Notice: time.Millisecond})
+	config := Config{Name: "g", DataCentre: "a", Follower: f.follower, Dialect: dialect, Jobs: noJobs{},
+		Log: telemetry.Discard(), Metrics: metrics.NewRegistry(), Grace: 8 * time.Second, Notice: time.Millisecond}
+	change(&config)
+	f.gateway = New(config)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	f.addr = l.Addr().String()
@@ -184,6 +191,30 @@
 	assert.Empty(t, f.runs())
 }
 
+// Where keys that are taken away must end everywhere, a gateway that cannot
+// confirm its document refuses; elsewhere it serves on.
+func TestAGatewayThatIsOutOfDateRefusesWhereItMust(t *testing.T) {
+	const bound = time.Hour
+	f := newFixtureWith(t, func(c *Config) { c.RefuseStaleAfter = bound }, standin.Behaviour{})
+	confirm := func(age time.Duration) {
+		ms := age.Milliseconds()
+		f.follower.Take(time.Now(), "test", &rpc.FollowPush{Confirmed: &ms})
+	}
+	confirm(bound + time.Minute)
+	response, _, err := f.ask("/safe/1", "r1")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.NotEmpty(t, response.Header.Get("Retry-After"))
+	assert.Error(t, f.gateway.Ready())
+	assert.Empty(t, f.runs())
+	confirm(bound - time.Minute)
+	confirm(bound + time.Minute)
+	response, _, err = f.ask("/safe/1", "r2")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, response.StatusCode, "the newest confirmation counts")
+	assert.NoError(t, f.gateway.Ready())
+}
+
 func TestOverTheRateIsRefusedWithATime(t *testing.T) {
 	f := newFixture(t, standin.Behaviour{})
 	refused := 0
--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -81,6 +81,9 @@
 	if c.table == nil {
 		return c, outcome.New(outcome.StateStale, outcome.NotRun, "no document is known yet").After(unknownRetry)
 	}
+	if s.isStale() {
+		return c, outcome.New(outcome.StateStale, outcome.NotRun, "the document may be out of date").After(unknownRetry)
+	}
 	if ambiguousLength(&ctx.Request.Header) {
 		ctx.SetConnectionClose()
 		return c, outcome.New(outcome.BadRequest, outcome.NotRun, "both a length and a transfer encoding")
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -20,6 +20,7 @@
 	"banyanwalk/core/quota"
 	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
+	"banyanwalk/infra/boottime"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
 )
@@ -61,6 +62,8 @@
 
 	table   atomic.Pointer[routing.Table]
 	catalog atomic.Pointer[catalog.State]
+	// confirmed is when the catalog was last known to be current, in boottime.
+	confirmed atomic.Int64
 
 	mu       sync.Mutex
 	roster   *roster.Roster
@@ -94,6 +97,7 @@
 		changed:  make(chan struct{}),
 	}
 	f.catalog.Store(&catalog.State{})
+	f.confirmed.Store(int64(boottime.Never))
 	nudge := make(chan struct{})
 	f.nudge.Store(&nudge)
 	f.Seed(cfg.Seeds)
@@ -146,6 +150,12 @@
 	return f.controls[addr]
 }
 
+// StaleFor returns how long ago the catalog was last known to be current, more
+// than a hundred years if it never was.
+func (f *Follower) StaleFor() time.Duration {
+	return boottime.Since(boottime.Instant(f.confirmed.Load()))
+}
+
 // Changed returns a channel that is closed at the next change of the view.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mu.Lock()
--- a/services/follow/merge.go
+++ b/services/follow/merge.go
@@ -7,6 +7,7 @@
 	"banyanwalk/core/placement"
 	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
+	"banyanwalk/infra/boottime"
 	"banyanwalk/infra/rpc"
 )
 
@@ -24,6 +25,9 @@
 		altered = true
 	}
 	f.pushed[from] = now
+	if push.Confirmed != nil {
+		f.mergeConfirmed(time.Duration(*push.Confirmed) * time.Millisecond)
+	}
 	if len(push.Stores) > 0 {
 		f.stores, f.listed = push.Stores, now
 		altered = true
@@ -63,6 +67,13 @@
 	return true
 }
 
+// mergeConfirmed notes how old a confirmed catalog is; the caller holds the lock.
+func (f *Follower) mergeConfirmed(age time.Duration) {
+	if at := boottime.Now().Add(-age); at > boottime.Instant(f.confirmed.Load()) {
+		f.confirmed.Store(int64(at))
+	}
+}
+
 func (f *Follower) mergeTargets(now time.Time, reports []rpc.TargetReport) bool {
 	altered := false
 	for i := range reports {
