Storage hosts keep finished texts on disk and a bounded log in memory

Change: infra/archive keeps texts that change no more, one file a job, whole or not there. Finished jobs are kept for status_s and 15 s.

--- a/cmd/banyan-site-store/main.go
+++ b/cmd/banyan-site-store/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
@@ -14,8 +15,9 @@
 	"banyanwalk/services/jobhost"
 )
 
-// keepFactor is how much longer than asked a finished job is kept.
-const keepFactor = 2
+// keepMargin is how much longer than asked a finished job is kept: hosts see a
+// job at different times, by less than a call may take.
+const keepMargin = 15 * time.Second
 
 func main() {
 	site.Main("banyan-site-store", "storage host of a site: keeps jobs and runs their items", run)
@@ -35,7 +37,7 @@
 		Founder: p.Settings.FirstStart,
 		Voters:  p.Settings.Voters(),
 		DataDir: p.Settings.DataDir,
-		KeepFor: keepFactor * p.Settings.JobKeep,
+		KeepFor: p.Settings.JobKeep + keepMargin,
 		Dialect: platform.Dialect(),
 		Log:     p.Log,
 		Metrics: p.Metrics,
--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -18,7 +18,7 @@
 type Item struct {
 	ID      string   `msgpack:"i"`
 	Path    string   `msgpack:"p"` // path and query
-	Headers []Header `msgpack:"h"`
+	Headers []Header `msgpack:"h"` // nil once the item is listed
 	Body    []byte   `msgpack:"b"` // nil once the item is listed
 	Tokens  int64    `msgpack:"t"` // of the prompt and, at most, of the answer
 }
@@ -61,6 +61,10 @@
 	Failures []int    `msgpack:"f"` // failed attempts by item
 
 	Partial map[int]Partial `msgpack:"p,omitempty"` // of open items that have begun
+
+	// Archived tells that the host keeps the texts of the results elsewhere; they
+	// are empty here. Hosts differ in it.
+	Archived bool `msgpack:"k,omitempty"`
 }
 
 // Partial is how far an item has come, so that a new leader need not run it
@@ -76,6 +80,15 @@
 // Unfinished reports whether any item is still to be run.
 func (j *Job) Unfinished() bool { return !j.Ended && len(j.Results) < len(j.Items) }
 
+// Texts returns the texts of the results, in the order of their positions.
+func (j *Job) Texts() []string {
+	texts := make([]string, 0, len(j.Results))
+	for i := range j.Results {
+		texts = append(texts, j.Results[i].Text)
+	}
+	return texts
+}
+
 // waiting returns the tokens of the open items.
 func (j *Job) waiting() int64 {
 	if j.Ended {
@@ -195,6 +208,34 @@
 	return Answer{New: job}
 }
 
+// Archive drops the texts of a job whose results change no more. It is no
+// command: each host does so once it keeps them elsewhere.
+func (m *Machine) Archive(id string) {
+	job := m.jobs[id]
+	if job == nil || job.Unfinished() {
+		return
+	}
+	job.Archived = true
+	for i := range job.Results {
+		job.Results[i].Text = ""
+	}
+}
+
+// Adopt takes over the texts that another machine still holds of jobs that are
+// archived here.
+func (m *Machine) Adopt(other *Machine) {
+	for id, job := range m.jobs {
+		held := other.jobs[id]
+		if !job.Archived || held == nil || held.Archived || len(held.Results) != len(job.Results) {
+			continue
+		}
+		job.Archived = false
+		for i := range job.Results {
+			job.Results[i].Text = held.Results[i].Text
+		}
+	}
+}
+
 // Waiting returns the tokens of a workspace's open items on a route.
 func (m *Machine) Waiting(workspace, route string) int64 {
 	sum := int64(0)
@@ -224,6 +265,7 @@
 		job.Listed[f.Item] = true
 		delete(job.Partial, f.Item)
 		job.Items[f.Item].Body = nil
+		job.Items[f.Item].Headers = nil
 		job.Results = append(job.Results, Result{Item: f.Item, State: f.State, Text: f.Text})
 	}
 }
--- a/core/jobs/jobs_test.go
+++ b/core/jobs/jobs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -142,3 +143,36 @@
 	save(0, 1, "late")
 	assert.Empty(t, m.Job("j").Partial)
 }
+
+func TestOnlyFinalJobsAreArchived(t *testing.T) {
+	m := NewMachine()
+	m.Apply(Command{Submit: spec("j", "w", 2)})
+	m.Apply(done("j", 1, "second"))
+	m.Archive("j")
+	m.Archive("unknown")
+	assert.False(t, m.Job("j").Archived, "a result may still come")
+	m.Apply(done("j", 0, "first"))
+	before := Restore(Snapshot{Jobs: []*Job{copyOf(m.Job("j"))}})
+	assert.Equal(t, []string{"second", "first"}, m.Job("j").Texts())
+	m.Archive("j")
+	job := m.Job("j")
+	assert.True(t, job.Archived)
+	assert.Equal(t, []string{"", ""}, job.Texts())
+	assert.Equal(t, []int{1, 0}, []int{job.Results[0].Item, job.Results[1].Item}, "positions stay")
+	m.Apply(done("j", 0, "another"))
+	assert.Len(t, job.Results, 2)
+
+	m.Adopt(before)
+	assert.False(t, job.Archived)
+	assert.Equal(t, []string{"second", "first"}, job.Texts())
+	m.Archive("j")
+	m.Adopt(m)
+	m.Adopt(NewMachine())
+	assert.True(t, job.Archived, "nobody holds the texts")
+}
+
+func copyOf(job *Job) *Job {
+	c := *job
+	c.Results = slices.Clone(job.Results)
+	return &c
+}
--- /dev/null
+++ b/infra/archive/archive_test.go
@@ -0,0 +1,83 @@
+package archive
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestWhatIsPutIsGot(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "texts")
+	a, err := Open(dir)
+	require.NoError(t, err)
+	long := strings.Repeat("x", 1<<16)
+	require.NoError(t, a.Put([]Entry{{Name: "../job/1", Texts: []string{"one", "", long, "four"}}, {Name: "empty"}}))
+	require.NoError(t, a.Put([]Entry{{Name: "../job/1", Texts: []string{"other"}}}))
+	for range 2 {
+		texts, err := a.Get("../job/1", 0, 1<<20)
+		require.NoError(t, err)
+		assert.Equal(t, []string{"one", "", long, "four"}, texts, "the first content stays")
+		texts, err = a.Get("../job/1", 1, 100)
+		require.NoError(t, err)
+		assert.Equal(t, []string{"", long}, texts, "up to the bound")
+		texts, err = a.Get("../job/1", 9, 100)
+		require.NoError(t, err)
+		assert.Empty(t, texts)
+		texts, err = a.Get("empty", 0, 100)
+		require.NoError(t, err)
+		assert.Empty(t, texts)
+		assert.True(t, a.Has("empty"))
+		a, err = Open(dir)
+		require.NoError(t, err)
+	}
+	_, err = a.Get("unknown", 0, 1)
+	assert.ErrorIs(t, err, ErrMissing)
+}
+
+func TestOnlyTheNamedAreKept(t *testing.T) {
+	dir := t.TempDir()
+	a, err := Open(dir)
+	require.NoError(t, err)
+	require.NoError(t, a.Put([]Entry{{Name: "one"}, {Name: "two"}}))
+	require.NoError(t, a.Keep([]string{"two", "three"}))
+	assert.False(t, a.Has("one"))
+	assert.True(t, a.Has("two"))
+	files, err := os.ReadDir(dir)
+	require.NoError(t, err)
+	assert.Len(t, files, 1)
+}
+
+func TestInterruptedWritesAreDropped(t *testing.T) {
+	dir := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(dir, fileOf("one")+tempSuffix), []byte("half"), fileMode))
+	a, err := Open(dir)
+	require.NoError(t, err)
+	assert.False(t, a.Has("one"))
+	files, err := os.ReadDir(dir)
+	require.NoError(t, err)
+	assert.Empty(t, files)
+}
+
+func TestDamageIsNoticed(t *testing.T) {
+	dir := t.TempDir()
+	a, err := Open(dir)
+	require.NoError(t, err)
+	require.NoError(t, a.Put([]Entry{{Name: "one", Texts: []string{"first", "second"}}}))
+	path := filepath.Join(dir, fileOf("one"))
+	whole, err := os.ReadFile(path)
+	require.NoError(t, err)
+	for at := range whole {
+		damaged := append([]byte(nil), whole...)
+		damaged[at] ^= 1
+		require.NoError(t, os.WriteFile(path, damaged, fileMode))
+		_, err := a.Get("one", 0, 100)
+		assert.Error(t, err, at)
+	}
+	require.NoError(t, os.WriteFile(path, whole[:len(whole)-1], fileMode))
+	_, err = a.Get("one", 0, 100)
+	assert.Error(t, err)
+}
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -18,6 +18,7 @@
 	MethodJobBody   wire.Method = 112 // unary: JobBody -> JobBodyData
 	MethodJobEnd    wire.Method = 113 // unary: jobs.EndJob -> Ack
 	MethodJobYield  wire.Method = 114 // unary: JobYield -> Ack
+	MethodJobTexts  wire.Method = 115 // unary: JobTexts -> JobTextsData, on any storage host
 
 	MethodSlotAcquire wire.Method = 120 // unary: SlotRequest -> SlotGrant, on the broker
 	MethodSlotRelease wire.Method = 121 // unary: SlotRelease -> Ack, on the broker
@@ -150,6 +151,16 @@
 	Body []byte `msgpack:"b"`
 }
 
+// JobTexts asks for all texts of a job whose results change no more.
+type JobTexts struct {
+	Job string `msgpack:"j"`
+}
+
+// JobTextsData answers JobTexts.
+type JobTextsData struct {
+	Texts []string `msgpack:"t"` // in the order of the results
+}
+
 // JobYield tells the leader of the job group that online requests have come to
 // targets whose slots are all taken.
 type JobYield struct {
--- a/infra/wal/frame.go
+++ b/infra/wal/frame.go
@@ -25,11 +25,15 @@
 
 // appendFrame adds a frame to dst.
 func appendFrame(dst []byte, incarnation, sequence uint64, payload []byte) []byte {
+	return append(appendFrameHead(dst, incarnation, sequence, payload), payload...)
+}
+
+// appendFrameHead adds what goes before the payload of a frame.
+func appendFrameHead(dst []byte, incarnation, sequence uint64, payload []byte) []byte {
 	dst = binary.LittleEndian.AppendUint32(dst, frameMagic)
 	dst = binary.LittleEndian.AppendUint32(dst, uint32(len(payload)))
 	dst = binary.LittleEndian.AppendUint64(dst, sequence)
-	dst = binary.LittleEndian.AppendUint32(dst, checksum(incarnation, sequence, payload))
-	return append(dst, payload...)
+	return binary.LittleEndian.AppendUint32(dst, checksum(incarnation, sequence, payload))
 }
 
 // readFrame returns the payload of the frame at the start of data and the size
--- a/infra/wal/segment.go
+++ b/infra/wal/segment.go
@@ -97,13 +97,17 @@
 }
 
 // writeFile writes a new file and makes it durable under its final name.
-func writeFile(path string, data []byte) error {
+func writeFile(path string, parts ...[]byte) error {
 	temp := path + tempSuffix
 	f, err := os.OpenFile(temp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "create file")
 	}
-	_, err = f.Write(data)
+	for _, part := range parts {
+		if err == nil {
+			_, err = f.Write(part)
+		}
+	}
 	if err == nil {
 		err = f.Sync()
 	}
--- a/infra/wal/snapshot.go
+++ b/infra/wal/snapshot.go
@@ -26,8 +26,8 @@
 	if len(payload) > maxPayload {
 		return errors.Newf("wal: snapshot of %d bytes", len(payload))
 	}
-	frame := appendFrame(nil, l.incarnation, s.Index, payload)
-	return writeFile(snapshotPath(l.dir, s.Index, s.Term), frame)
+	head := appendFrameHead(nil, l.incarnation, s.Index, payload)
+	return writeFile(snapshotPath(l.dir, s.Index, s.Term), head, payload)
 }
 
 // readSnapshot loads the snapshot in force.
--- a/services/control/replica/api.go
+++ b/services/control/replica/api.go
@@ -48,6 +48,7 @@
 	HeartbeatInterval time.Duration
 	ElectionTimeout   time.Duration // lower bound; drawn anew up to twice of it
 	SnapshotEvery     int           // entries applied between snapshots
+	SnapshotBytes     int           // commands applied between snapshots; 0: no bound
 	Logger            Logger        // nil: no events
 	// Complete reports whether this host holds all data that applied entries
 	// name outside the log. While it does not, a learner gets no vote. Nil
--- a/services/control/replica/applier.go
+++ b/services/control/replica/applier.go
@@ -34,7 +34,8 @@
 type applier struct {
 	sm            StateMachine
 	waiters       *waiters
-	snapshotEvery uint64
+	snapshotEvery uint64     // entries
+	snapshotBytes int        // of commands; 0: no bound
 	taken         chan taken // capacity one
 
 	mu     sync.Mutex
@@ -46,6 +47,7 @@
 	// Owned by the applying goroutine.
 	applied     uint64
 	snapshotted uint64
+	bytes       int // of commands applied since then
 	reads       []*confirmedRead
 	publish     func(applied uint64)
 }
@@ -105,7 +107,7 @@
 			return errors.Wrapf(err, "restore snapshot %d", t.snapshot.Index)
 		}
 		a.applied = t.snapshot.Index
-		a.snapshotted = t.snapshot.Index
+		a.snapshotted, a.bytes = t.snapshot.Index, 0
 	case t.confirm != nil:
 		a.reads = append(a.reads, t.confirm)
 	case t.run != nil:
@@ -125,6 +127,7 @@
 		var result any
 		if e.Type == raft.EntryCommand && len(e.Data) > 0 {
 			result = a.sm.Apply(e.Index, e.Data)
+			a.bytes += len(e.Data)
 		}
 		a.applied = e.Index
 		if p := a.waiters.take(e.Index, e.Term); p != nil {
@@ -150,14 +153,16 @@
 // maybeSnapshot encodes the state when enough entries have been applied. The
 // file is written elsewhere; while one is being written none is encoded.
 func (a *applier) maybeSnapshot() error {
-	if a.applied-a.snapshotted < a.snapshotEvery || len(a.taken) > 0 {
+	tooMany := a.applied-a.snapshotted >= a.snapshotEvery
+	tooLarge := a.snapshotBytes > 0 && a.bytes >= a.snapshotBytes
+	if !tooMany && !tooLarge || len(a.taken) > 0 {
 		return nil
 	}
 	data, err := a.sm.Snapshot()
 	if err != nil {
 		return errors.Wrapf(err, "encode snapshot at %d", a.applied)
 	}
-	a.snapshotted = a.applied
+	a.snapshotted, a.bytes = a.applied, 0
 	a.taken <- taken{index: a.applied, data: data}
 	return nil
 }
--- a/services/control/replica/replica.go
+++ b/services/control/replica/replica.go
@@ -25,6 +25,7 @@
 	reads     *queue[*readCall]
 	rounds    []*readRound // owned by the loop
 	nextToken uint64       // owned by the loop
+	compacted uint64       // index of the snapshot before; owned by the loop
 
 	inbox     *queue[raft.Message]
 	proposals *queue[*proposal]
@@ -99,6 +100,7 @@
 		sm:            sm,
 		waiters:       r.waiters,
 		snapshotEvery: uint64(cfg.SnapshotEvery),
+		snapshotBytes: cfg.SnapshotBytes,
 		taken:         make(chan taken, 1),
 		wake:          make(chan struct{}, 1),
 		ended:         make(chan struct{}),
--- a/services/control/replica/replica_test.go
+++ b/services/control/replica/replica_test.go
@@ -248,6 +248,27 @@
 	c.requireEverywhere(want)
 }
 
+// Where the size of the log is bounded, snapshots come by bytes, and a host with
+// a blank folder gets one.
+func TestSnapshotsByBytes(t *testing.T) {
+	c := newCluster(t, Config{SnapshotBytes: 500})
+	want := c.proposeMany(0, 300)
+	for _, id := range c.peers {
+		c.waitFor("a snapshot", func() bool {
+			files, err := filepath.Glob(filepath.Join(c.folder(id), "log", "*.snap"))
+			return err == nil && len(files) > 0
+		})
+	}
+	c.blank(2)
+	c.requireEverywhere(want)
+	for _, id := range c.peers {
+		c.stop(id)
+		c.start(id)
+	}
+	want = append(want, c.proposeMany(300, 310)...)
+	c.requireEverywhere(want)
+}
+
 func TestLostLeader(t *testing.T) {
 	c := newCluster(t, Config{})
 	want := c.proposeMany(0, 20)
--- a/services/control/replica/snapshots.go
+++ b/services/control/replica/snapshots.go
@@ -44,13 +44,19 @@
 }
 
 // finishSnapshot truncates the log behind a snapshot that is on disk. Some
-// entries stay in memory for members that lag a little.
+// entries stay in memory for members that lag a little, where the size of the
+// log is bounded only those after the snapshot before.
 func (r *Replica) finishSnapshot(s raft.Snapshot) error {
 	if err := r.wal.Compact(s.Index, s.Term); err != nil {
 		return err
 	}
 	keep := uint64(r.cfg.SnapshotEvery / 4)
-	r.core.Compact(s, s.Index-min(keep, s.Index))
+	after := s.Index - min(keep, s.Index)
+	if r.cfg.SnapshotBytes > 0 {
+		after = max(after, min(r.compacted, s.Index))
+	}
+	r.compacted = s.Index
+	r.core.Compact(s, after)
 	r.event("snapshot", "index", s.Index, "bytes", len(s.Data))
 	return nil
 }
--- a/services/director/director.go
+++ b/services/director/director.go
@@ -31,7 +31,10 @@
 const catalogGroup uint32 = 0
 
 const (
-	snapshotEvery = 64 // entries; each may hold a whole document
+	snapshotEvery = 64 // entries
+	// snapshotBytes of entries are kept in memory at most twice; each may hold a
+	// whole document of some hundred kilobytes.
+	snapshotBytes = 4 << 20
 	// orderTimeout is how long an operator's order may take. Operators turn to
 	// another host after a second.
 	orderTimeout = 900 * time.Millisecond
@@ -109,6 +112,7 @@
 		Voters:        cfg.Voters,
 		Dir:           cfg.DataDir,
 		SnapshotEvery: snapshotEvery,
+		SnapshotBytes: snapshotBytes,
 		ClientTLS:     cfg.ClientTLS,
 		Log:           cfg.Log,
 		Metrics:       cfg.Metrics,
--- a/services/jobhost/calls.go
+++ b/services/jobhost/calls.go
@@ -82,6 +82,7 @@
 
 // results returns what is listed; more tells that more may come.
 func (s *Server) results(r *rpc.JobRead) (found *rpc.JobResults, more bool, err error) {
+	archived := false
 	s.state.read(func(m *jobs.Machine, _ map[string]time.Time) {
 		job := m.Job(r.Job)
 		if job == nil || job.Workspace != r.Workspace {
@@ -89,7 +90,7 @@
 			return
 		}
 		found = &rpc.JobResults{Total: len(job.Items)}
-		more = job.Unfinished()
+		more, archived = job.Unfinished(), job.Archived
 		size := 0
 		for at := max(0, r.After); at < len(job.Results) && size < maxReadBytes; at++ {
 			result := &job.Results[at]
@@ -99,7 +100,24 @@
 			})
 		}
 	})
-	return found, more, err
+	if err != nil || !archived || len(found.Results) == 0 {
+		return found, more, err
+	}
+	return found, more, s.addTexts(r, found)
+}
+
+// addTexts adds the texts of an archived job to its results, and leaves out
+// those that are too many for one answer.
+func (s *Server) addTexts(r *rpc.JobRead, found *rpc.JobResults) error {
+	texts, err := s.archiver.texts(r.Job, max(0, r.After))
+	if err != nil {
+		return err
+	}
+	found.Results = found.Results[:min(len(texts), len(found.Results))]
+	for i := range found.Results {
+		found.Results[i].Text = texts[i]
+	}
+	return nil
 }
 
 // readBody returns the body of an item that is not listed yet.
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -27,6 +27,9 @@
 
 const (
 	snapshotEvery = 2000 // entries
+	// snapshotBytes of entries are kept in memory at most twice, beside the
+	// state; entries hold bodies and texts.
+	snapshotBytes = 8 << 20
 	// confirmTimeout bounds a quorum's confirmation of a read.
 	confirmTimeout = 600 * time.Millisecond
 	// maxReadBytes bounds the texts of one answer to a read.
@@ -54,13 +57,14 @@
 
 // Server is one storage host.
 type Server struct {
-	cfg    Config
-	log    *telemetry.Log
-	wire   *wire.Server
-	state  *jobsState
-	group  atomic.Pointer[replicated.Group[jobs.Answer]]
-	runner *runner
-	broker *broker
+	cfg      Config
+	log      *telemetry.Log
+	wire     *wire.Server
+	state    *jobsState
+	group    atomic.Pointer[replicated.Group[jobs.Answer]]
+	runner   *runner
+	archiver *archiver
+	broker   *broker
 }
 
 // New returns a storage host that Run opens.
@@ -111,6 +115,10 @@
 		l.Close()
 		return err
 	}
+	if s.archiver, err = newArchiver(s); err != nil {
+		l.Close()
+		return err
+	}
 	s.runner = newRunner(s, group)
 	s.broker = newBroker(s, s.runner)
 	group.Register(s.wire)
@@ -119,6 +127,7 @@
 	wire.HandleUnary(s.wire, rpc.MethodJobBody, s.readBody)
 	wire.HandleUnary(s.wire, rpc.MethodJobEnd, s.end)
 	wire.HandleUnary(s.wire, rpc.MethodJobYield, s.yield)
+	wire.HandleUnary(s.wire, rpc.MethodJobTexts, s.archiver.serveTexts)
 	wire.HandleUnary(s.wire, rpc.MethodSlotAcquire, s.broker.acquire)
 	wire.HandleUnary(s.wire, rpc.MethodSlotRelease, s.broker.release)
 	s.group.Store(group)
@@ -133,5 +142,9 @@
 	})
 	p.Go(func() error { return s.runner.run(ctx) })
 	p.Go(func() error { return s.review(ctx, group) })
+	p.Go(func() error {
+		s.archiver.run(ctx)
+		return nil
+	})
 	return p.Wait()
 }
--- a/services/jobhost/membership.go
+++ b/services/jobhost/membership.go
@@ -38,6 +38,8 @@
 		Voters:        s.cfg.Voters,
 		Dir:           s.cfg.DataDir,
 		SnapshotEvery: snapshotEvery,
+		SnapshotBytes: snapshotBytes,
+		Complete:      s.state.complete.Load,
 		ClientTLS:     s.cfg.ClientTLS,
 		Log:           s.log,
 		Metrics:       s.cfg.Metrics,
--- a/services/jobhost/runner.go
+++ b/services/jobhost/runner.go
@@ -33,7 +33,7 @@
 	// much of their work is lost with a leader.
 	saveEvery = 1 * time.Second
 	// dropEvery is the pause between two looks for jobs that may go.
-	dropEvery = 30 * time.Second
+	dropEvery = 10 * time.Second
 )
 
 // runner runs the items of open jobs while this host leads.
--- a/services/jobhost/state.go
+++ b/services/jobhost/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,10 +19,15 @@
 	machine *jobs.Machine
 	seen    map[string]time.Time // when this process first saw each job
 	changed chan struct{}        // closed and replaced after each command
+	// complete tells that this host holds the texts of all archived jobs. What it
+	// applies from the log comes with its texts; a snapshot does not.
+	complete atomic.Bool
 }
 
 func newJobsState() *jobsState {
-	return &jobsState{machine: jobs.NewMachine(), seen: make(map[string]time.Time), changed: make(chan struct{})}
+	s := &jobsState{machine: jobs.NewMachine(), seen: make(map[string]time.Time), changed: make(chan struct{})}
+	s.complete.Store(true)
+	return s
 }
 
 // Apply executes one encoded jobs.Command and returns its jobs.Answer.
@@ -58,7 +64,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.machine = jobs.Restore(snapshot)
+	restored := jobs.Restore(snapshot)
+	restored.Adopt(s.machine)
+	s.machine = restored
+	s.complete.Store(false)
 	now := time.Now()
 	for _, job := range snapshot.Jobs {
 		if _, known := s.seen[job.ID]; !known {
@@ -69,6 +78,15 @@
 	return nil
 }
 
+// archive drops the texts of jobs that are kept on disk.
+func (s *jobsState) archive(ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids {
+		s.machine.Archive(id)
+	}
+}
+
 // wake lets all look that wait for a change. The caller holds the lock.
 func (s *jobsState) wake() {
 	close(s.changed)
--- a/services/replicated/group.go
+++ b/services/replicated/group.go
@@ -44,9 +44,13 @@
 	Voters        int      // hosts that are to have a vote
 	Dir           string
 	SnapshotEvery int // entries
-	ClientTLS     *tls.Config
-	Log           *telemetry.Log
-	Metrics       metrics.Registry
+	SnapshotBytes int // of entries; 0: no bound
+	// Complete reports whether this host holds all data that the state names
+	// outside of it; until then it gets no vote. Nil: there is no such data.
+	Complete  func() bool
+	ClientTLS *tls.Config
+	Log       *telemetry.Log
+	Metrics   metrics.Registry
 }
 
 // Group is the replica of this host. R is the type of the results of its
@@ -117,6 +121,8 @@
 		HeartbeatInterval: heartbeatInterval,
 		ElectionTimeout:   electionTimeout,
 		SnapshotEvery:     cfg.SnapshotEvery,
+		SnapshotBytes:     cfg.SnapshotBytes,
+		Complete:          cfg.Complete,
 		Logger:            eventLog{cfg.Log},
 		Voters:            cfg.Voters,
 		ReplaceAfter:      replaceAfter,
