Latencies as HDR histograms, by kind of route

Cause: the users want HDR histograms by kind and outcome; entry kept a decaying sample of 1,028 values over all kinds.

Change: telemetry.NewLatency registers a metrics.Histogram over hdrhistogram-go, two digits, some 14 KB each; entry counts whole and broken answers and both latencies by kind of route. The test of METRICS.md looks for NewLatency.

By target there is still only the log.

--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -160,15 +160,14 @@
 		}
 	}
 	f.first = time.Since(f.call.started)
-	f.server.meters.first.Update(ms(f.first))
+	f.server.meters.kinds[f.call.route.Kind].first.Update(ms(f.first))
 }
 
 // finished logs the end of an answered request.
 func (f *forwarding) finished(failure error) {
 	s := f.server
-	s.meters.finished.Inc(1)
 	took := time.Since(f.call.started)
-	s.meters.whole.Update(ms(took))
+	s.meters.answered(f.call.route.Kind, took, failure == nil)
 	target, status, fill := "", 0, 0
 	if f.target != nil {
 		target, fill = f.target.ID, f.slot.total
