--- a/tests/site/site_test.go
+++ b/tests/site/site_test.go
@@ -30,7 +30,7 @@
 		panic(err)
 	}
 	binaries = dir
-	build := exec.Command("go", "build", "-race", "-o", dir+"/", "./cmd/banyan-site-gateway", "./cmd/banyan-site-control", "./cmd/banyan-site-store")
+	build := exec.Command("go", "build", "-race", "-o", dir+"/", "./cmd/banyan-site-gateway", "./cmd/banyan-site-control", "./cmd/banyan-site-store", "./cmd/banyanctl")
 	build.Dir = "../.."
 	build.Stdout, build.Stderr = os.Stderr, os.Stderr
 	code := 1
