banyanctl site shows a site's replicas, members, targets and jobs

Cause: on the provider's machines an operator had only logs to see who votes, leads, is heard and how full targets are; banyanctl status speaks to the other control program.

Ruled out: HTTP on the operators' address: its calls are the provider's.

Change: two calls on the wire (rpc.SiteStatus, rpc.JobsStatus), served by control and storage hosts; the command prints tables or JSON. tests/site runs it against real processes.

--- a/cmd/banyanctl/command.go
+++ b/cmd/banyanctl/command.go
@@ -41,7 +41,7 @@
 func (c *command) name() string { return strings.Join(c.path, " ") }
 
 func commands() []command {
-	return slices.Concat(bundleCommands(), markCommands(), statusCommands(), timelineCommands())
+	return slices.Concat(bundleCommands(), markCommands(), statusCommands(), siteCommands(), timelineCommands())
 }
 
 // find returns the command that args start with, and the remaining args.
--- a/services/director/director.go
+++ b/services/director/director.go
@@ -122,6 +122,7 @@
 	}
 	s.group.Register(s.wire)
 	s.wire.Handle(rpc.MethodFollow, s.follow)
+	wire.HandleUnary(s.wire, rpc.MethodSiteStatus, s.status)
 	return s, nil
 }
 
--- /dev/null
+++ b/services/director/status.go
@@ -0,0 +1,50 @@
+package director
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"banyanwalk/infra/rpc"
+	"banyanwalk/services/replicated"
+)
+
+// status tells operators what this host believes of the site.
+func (s *Server) status(_ context.Context, _ *rpc.StatusRequest) (*rpc.SiteStatus, error) {
+	state := s.state.state()
+	members, targets := s.board.status(time.Now())
+	return &rpc.SiteStatus{
+		Host: s.cfg.Name, Replica: s.group.Status(), Current: s.isCurrent(), Version: state.Version, Out: state.Out,
+		Retired: state.Retired, Controls: s.controls(), Members: members, Targets: targets,
+	}, nil
+}
+
+// status returns the members and the targets, sorted by their names.
+func (b *board) status(now time.Time) ([]rpc.MemberStatus, []rpc.TargetStatus) {
+	loads := b.others(now, "").Loads
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var members []rpc.MemberStatus
+	for _, m := range b.members {
+		status := rpc.MemberStatus{Name: m.load.Member.Name, Role: m.load.Member.Role, DataCentre: m.load.Member.DataCentre,
+			SilentMS: now.Sub(m.heard).Milliseconds()}
+		if store := m.load.Member.Store; store != nil {
+			status.Addr, _ = replicated.Addr(store.ID)
+			status.Leads = store.Leads
+		}
+		members = append(members, status)
+	}
+	var targets []rpc.TargetStatus
+	for _, r := range b.roster.All() {
+		targets = append(targets, rpc.TargetStatus{ID: r.ID, Service: r.Service, Addr: r.Addr, DataCentre: r.DataCentre, State: r.State.String(),
+			Slots: r.Slots, Online: loads[r.ID].Online, Batch: loads[r.ID].Batch, SilentMS: now.Sub(r.Heard).Milliseconds()})
+	}
+	slices.SortFunc(members, func(a, b rpc.MemberStatus) int {
+		return cmp.Or(cmp.Compare(a.Role, b.Role), cmp.Compare(a.Name, b.Name))
+	})
+	slices.SortFunc(targets, func(a, b rpc.TargetStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	return members, targets
+}
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -128,6 +128,7 @@
 	wire.HandleUnary(s.wire, rpc.MethodJobEnd, s.end)
 	wire.HandleUnary(s.wire, rpc.MethodJobYield, s.yield)
 	wire.HandleUnary(s.wire, rpc.MethodJobTexts, s.archiver.serveTexts)
+	wire.HandleUnary(s.wire, rpc.MethodJobsStatus, s.status)
 	wire.HandleUnary(s.wire, rpc.MethodSlotAcquire, s.broker.acquire)
 	wire.HandleUnary(s.wire, rpc.MethodSlotRelease, s.broker.release)
 	s.group.Store(group)
--- a/services/jobhost/runner.go
+++ b/services/jobhost/runner.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// count returns how many items run.
+func (r *runner) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.running)
+}
+
 // run starts and stops items until ctx ends.
 func (r *runner) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- /dev/null
+++ b/services/jobhost/status.go
@@ -0,0 +1,28 @@
+package jobhost
+
+import (
+	"context"
+	"time"
+
+	"banyanwalk/core/jobs"
+	"banyanwalk/infra/rpc"
+)
+
+// status tells operators how this host stands.
+func (s *Server) status(_ context.Context, _ *rpc.StatusRequest) (*rpc.JobsStatus, error) {
+	status := &rpc.JobsStatus{
+		Host: s.cfg.Name, Replica: s.group.Load().Status(), Running: s.runner.count(), Complete: s.state.complete.Load(),
+	}
+	s.state.read(func(m *jobs.Machine, _ map[string]time.Time) {
+		for _, job := range m.Jobs() {
+			status.Jobs++
+			if job.Archived {
+				status.Archived++
+			}
+			if job.Unfinished() {
+				status.OpenItems += len(job.Items) - len(job.Results)
+			}
+		}
+	})
+	return status, nil
+}
--- a/tests/site/traces_test.go
+++ b/tests/site/traces_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os/exec"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"banyanwalk/infra/rpc"
 	"banyanwalk/services/standin"
 )
 
@@ -112,3 +114,51 @@
 	assert.Regexp(t, fmt.Sprintf(`banyan-site-gateway/%s .*catalog_taken .*version=%d `, gateway.Name, version), all)
 	assert.Regexp(t, fmt.Sprintf(`banyan-site-control/\S+ .*document_put .*version=%d`, version), all)
 }
+
+// banyanctl site tells who votes and leads, what runs where, and what is kept.
+func TestTheToolShowsASite(t *testing.T) {
+	s := startSite(t, 78, standin.Behaviour{Events: 3})
+	gateway := s.Role(Gateway)[0]
+	require.Eventually(t, func() bool {
+		return s.Ask(t.Context(), gateway, http.MethodPost, "/lots/x", "job-1", lot(4, "job-1")).Status == http.StatusAccepted
+	}, patience, 50*time.Millisecond)
+	finished(t, s, gateway, "job-1", 4)
+	control := fmt.Sprintf("%s:%d", s.Role(Control)[0].IP, firstWirePort)
+	show := func(arguments ...string) ([]byte, error) {
+		return exec.Command(binaries+"/banyanctl", append([]string{"site", "-control", control}, arguments...)...).CombinedOutput()
+	}
+	var told struct {
+		Site   rpc.SiteStatus
+		Stores []struct{ Status *rpc.JobsStatus }
+	}
+	require.Eventually(t, func() bool {
+		out, err := show("-output", "json")
+		if err != nil || json.Unmarshal(out, &told) != nil || len(told.Stores) != 3 {
+			return false
+		}
+		for _, store := range told.Stores {
+			if store.Status == nil || store.Status.Archived != 1 || len(store.Status.Replica.Voters) != 3 {
+				return false
+			}
+		}
+		return len(told.Site.Replica.Voters) == 3 && len(told.Site.Members) == 5 && len(told.Site.Targets) == 1
+	}, patience, 100*time.Millisecond)
+	leaders := 0
+	for _, store := range told.Stores {
+		assert.Equal(t, 1, store.Status.Jobs)
+		assert.Zero(t, store.Status.OpenItems)
+		assert.True(t, store.Status.Complete)
+		if store.Status.Replica.Leads {
+			leaders++
+		}
+	}
+	assert.Equal(t, 1, leaders)
+	assert.Equal(t, "ready", told.Site.Targets[0].State)
+	text, err := show()
+	require.NoError(t, err, string(text))
+	assert.Contains(t, string(text), "document version 1")
+	assert.Contains(t, string(text), gateway.Name)
+	text, err = exec.Command(binaries+"/banyanctl", "site", "-control", "127.0.0.1:1").CombinedOutput()
+	require.Error(t, err)
+	assert.Contains(t, string(text), "no control host answered")
+}
