A group that starts again together elects a leader at once

Change: raft.Config.NoLease, set by services/replicated: LeaseUntil stays zero, a restarted replica votes at once and campaigns after one to three heartbeat intervals; pre-votes keep a leader that is there. Reads are asked again as soon as a leader is known.

--- a/core/raft/open_histories_test.go
+++ b/core/raft/open_histories_test.go
@@ -51,6 +51,9 @@
 				}
 				g.run(time.Second)
 				g.down = map[uint64]bool{}
+				for id := range g.hosts {
+					g.restart(id)
+				}
 				g.run(3 * time.Second)
 			}
 			for waited := time.Duration(0); !complete(g) && waited < recoverWithin; waited += time.Second {
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -49,6 +49,10 @@
 	Rand              *rand.Rand // for election timeouts
 	Now               time.Time
 	HoldVote          bool // as a learner, take no vote before SetComplete
+	// NoLease is set where nobody relies on LeaseUntil, which then stays zero. A
+	// replica that starts again need not wait for the end of a leader's lease:
+	// it votes at once and soon campaigns.
+	NoLease bool
 
 	// Voters, if not 0, opens the membership: any host that asks becomes a
 	// learner, and so many hosts are kept as voters. A voter that has been
@@ -137,10 +141,16 @@
 	}
 	r.cfg.Entries = nil
 	r.cfg.Snapshot = Snapshot{}
-	if !log.isBlank() {
+	r.resetTimer()
+	switch {
+	case log.isBlank():
+	case cfg.NoLease:
+		// A leader that is there makes itself heard before.
+		interval := int64(cfg.HeartbeatInterval)
+		r.timerTimeout = time.Duration(interval + cfg.Rand.Int64N(2*interval))
+	default:
 		r.heard = cfg.Now
 	}
-	r.resetTimer()
 	return r, nil
 }
 
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -259,9 +259,9 @@
 
 // LeaseUntil returns the end of the leader's lease: until then no other replica
 // can have been elected. It is zero unless this replica leads, has committed
-// an entry of its term and has heard from a quorum.
+// an entry of its term and has heard from a quorum, and with NoLease.
 func (r *Raft) LeaseUntil() time.Time {
-	if r.role != Leader || r.leaseFrom.IsZero() || r.log.committed < r.opened {
+	if r.cfg.NoLease || r.role != Leader || r.leaseFrom.IsZero() || r.log.committed < r.opened {
 		return time.Time{}
 	}
 	margin := r.cfg.ElectionTimeout * leaseMarginPercent / 100
--- a/services/control/replica/api.go
+++ b/services/control/replica/api.go
@@ -58,6 +58,7 @@
 	// Voters, ReplaceAfter and Joining open the membership: see raft.Config.
 	Voters       int
 	ReplaceAfter time.Duration
+	NoLease      bool // nobody relies on LeaseValid: see raft.Config
 	Joining      bool
 }
 
--- a/services/control/replica/loop.go
+++ b/services/control/replica/loop.go
@@ -195,6 +195,7 @@
 	}
 	if before.Leader != now.Leader || before.IsLeader != now.IsLeader || before.Term != now.Term && now.IsLeader {
 		r.event("leadership", "term", now.Term, "leader", now.Leader, "own", now.IsLeader)
+		r.hurryReads()
 		notify(r.changed)
 	}
 }
--- a/services/control/replica/reads.go
+++ b/services/control/replica/reads.go
@@ -48,6 +48,13 @@
 	r.rounds = kept
 }
 
+// hurryReads makes all rounds ask again at the next tick: a leader has come.
+func (r *Replica) hurryReads() {
+	for _, round := range r.rounds {
+		round.asked = time.Time{}
+	}
+}
+
 func (r *readRound) isWanted() bool {
 	for _, c := range r.callers {
 		if !c.ended.Load() {
--- a/services/control/replica/replica.go
+++ b/services/control/replica/replica.go
@@ -67,6 +67,7 @@
 		Voters:            cfg.Voters,
 		ReplaceAfter:      cfg.ReplaceAfter,
 		Joining:           cfg.Joining,
+		NoLease:           cfg.NoLease,
 		HardState:         found.HardState,
 		Snapshot:          found.Snapshot,
 		Entries:           found.Entries,
--- a/services/control/replica/replica_test.go
+++ b/services/control/replica/replica_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -175,7 +176,8 @@
 	return found
 }
 
-// propose retries until a command is applied.
+// propose retries until a command is applied. A command whose outcome is unknown
+// is looked for before it is repeated: the leadership may change at any time.
 func (c *cluster) propose(command string) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -187,6 +189,26 @@
 		require.NoError(c.t, ctx.Err())
 		var refused *outcome.Error
 		require.True(c.t, errors.As(err, &refused))
+		if refused.Outcome != outcome.NotRun && c.holds(ctx, command) {
+			return
+		}
+	}
+}
+
+// holds reports whether a leader holds a command at a confirmed index.
+func (c *cluster) holds(ctx context.Context, command string) (held bool) {
+	for {
+		n := c.leader()
+		if _, err := n.replica.ReadIndex(ctx); err != nil {
+			require.NoError(c.t, ctx.Err())
+			continue
+		}
+		n.replica.Read(func() {
+			if j, ok := n.sm.(*journal); ok {
+				held = slices.Contains(j.commands, command)
+			}
+		})
+		return held
 	}
 }
 
--- a/services/replicated/group.go
+++ b/services/replicated/group.go
@@ -127,6 +127,7 @@
 		Voters:            cfg.Voters,
 		ReplaceAfter:      replaceAfter,
 		Joining:           cfg.Joining,
+		NoLease:           true, // reads are confirmed by a quorum
 	}, machine, g.transport)
 	if err != nil {
 		return nil, errors.Wrapf(err, "open group %d", cfg.Group)
