Archived texts: damage is fetched again, a reused id has none of the old ones

Ruled out: dropping files by the list of known jobs alone: the new job has the old one's id.

Change: archive.ErrDamaged; the host drops such a file and fetches the texts from another one (texts_damaged). What Drop names is removed before anything is stored. control_lost of a process that has heard nobody yet says heard=false.

Figures: both tests fail without the change (TestAnIDThatIsUsedAgainHasNoOldTexts, TestDamagedTextsAreFetchedAgain) and pass with it; the tests of archive, follow and jobhost under the race detector: ok.

--- a/infra/archive/archive.go
+++ b/infra/archive/archive.go
@@ -32,8 +32,12 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// ErrMissing means that nothing is kept under a name.
-var ErrMissing = errors.New("archive: nothing is kept under this name")
+// ErrMissing means that nothing is kept under a name, ErrDamaged that what is
+// kept is not what was put.
+var (
+	ErrMissing = errors.New("archive: nothing is kept under this name")
+	ErrDamaged = errors.New("archive: damaged")
+)
 
 // Archive is an open folder. It is safe for concurrent use.
 type Archive struct {
@@ -194,19 +198,19 @@
 func readHead(f io.ReaderAt) (entries []entry, end int64, err error) {
 	head := make([]byte, headSize)
 	if _, err := f.ReadAt(head, 0); err != nil {
-		return nil, 0, errors.Wrap(err, "read archive file")
+		return nil, 0, readError(err)
 	}
 	count := binary.LittleEndian.Uint32(head[4:])
 	if binary.LittleEndian.Uint32(head) != magic || count > maxTexts {
-		return nil, 0, errors.New("archive: damaged file")
+		return nil, 0, errors.Wrap(ErrDamaged, "head of a file")
 	}
 	size := headSize + int(count)*entrySize
 	head = make([]byte, size+sumSize)
 	if _, err := f.ReadAt(head, 0); err != nil {
-		return nil, 0, errors.Wrap(err, "read archive file")
+		return nil, 0, readError(err)
 	}
 	if binary.LittleEndian.Uint32(head[size:]) != crc32.Checksum(head[:size], castagnoli) {
-		return nil, 0, errors.New("archive: damaged file")
+		return nil, 0, errors.Wrap(ErrDamaged, "head of a file")
 	}
 	for at := headSize; at < size; at += entrySize {
 		entries = append(entries, entry{length: binary.LittleEndian.Uint32(head[at:]), sum: binary.LittleEndian.Uint32(head[at+4:])})
@@ -214,13 +218,21 @@
 	return entries, int64(len(head)), nil
 }
 
+// readError tells a file that is too short from a disk that cannot be read.
+func readError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return errors.Wrap(ErrDamaged, "a file is too short")
+	}
+	return errors.Wrap(err, "read archive file")
+}
+
 func (e entry) read(f io.ReaderAt, at int64) (string, error) {
 	text := make([]byte, e.length)
 	if _, err := f.ReadAt(text, at); err != nil && (e.length > 0 || !errors.Is(err, io.EOF)) {
-		return "", errors.Wrap(err, "read archive file")
+		return "", readError(err)
 	}
 	if crc32.Checksum(text, castagnoli) != e.sum {
-		return "", errors.New("archive: damaged text")
+		return "", errors.Wrap(ErrDamaged, "text")
 	}
 	return string(text), nil
 }
@@ -240,7 +252,25 @@
 		}
 	}
 	a.mu.Unlock()
-	for _, file := range stale {
+	return a.remove(stale)
+}
+
+// Drop drops names.
+func (a *Archive) Drop(names []string) error {
+	var files []string
+	a.mu.Lock()
+	for _, name := range names {
+		if file := fileOf(name); a.files[file] {
+			files = append(files, file)
+			delete(a.files, file)
+		}
+	}
+	a.mu.Unlock()
+	return a.remove(files)
+}
+
+func (a *Archive) remove(files []string) error {
+	for _, file := range files {
 		if err := os.Remove(filepath.Join(a.dir, file)); err != nil {
 			return errors.Wrap(err, "remove archive file")
 		}
--- a/infra/archive/archive_test.go
+++ b/infra/archive/archive_test.go
@@ -75,9 +75,15 @@
 		damaged[at] ^= 1
 		require.NoError(t, os.WriteFile(path, damaged, fileMode))
 		_, err := a.Get("one", 0, 100)
-		assert.Error(t, err, at)
+		assert.ErrorIs(t, err, ErrDamaged, at)
 	}
 	require.NoError(t, os.WriteFile(path, whole[:len(whole)-1], fileMode))
 	_, err = a.Get("one", 0, 100)
-	assert.Error(t, err)
+	assert.ErrorIs(t, err, ErrDamaged)
+	require.NoError(t, a.Drop([]string{"one", "unknown"}))
+	assert.False(t, a.Has("one"))
+	require.NoError(t, a.Put([]Entry{{Name: "one", Texts: []string{"again"}}}))
+	texts, err := a.Get("one", 0, 100)
+	require.NoError(t, err)
+	assert.Equal(t, []string{"again"}, texts)
 }
--- a/services/follow/watch.go
+++ b/services/follow/watch.go
@@ -64,5 +64,13 @@
 		gateways += f.others.Gateways
 	}
 	f.Buckets.Share(gateways)
-	f.cfg.Log.Warn("control_lost", "controls", len(f.controls), "silent_ms", now.Sub(f.newest).Milliseconds(), "quota_share", gateways)
+	f.cfg.Log.Warn("control_lost", "controls", len(f.controls), "heard", !f.newest.IsZero(), "silent_ms", f.silence(now).Milliseconds(), "quota_share", gateways)
+}
+
+// silence returns how long no control host has been heard, or 0 if none ever was.
+func (f *Follower) silence(now time.Time) time.Duration {
+	if f.newest.IsZero() {
+		return 0
+	}
+	return now.Sub(f.newest)
 }
--- a/services/jobhost/archiver.go
+++ b/services/jobhost/archiver.go
@@ -23,7 +23,8 @@
 	// archiveEvery is the pause between two moves of texts to disk: texts of so
 	// many seconds are in memory although they need not be.
 	archiveEvery = 1 * time.Second
-	// cleanEvery is the pause between two looks for files of jobs that were dropped.
+	// cleanEvery is the pause between two looks for files of jobs that this host no
+	// longer knows, as its state came from a snapshot.
 	cleanEvery = 10 * time.Second
 	// fetchTimeout bounds one request for the texts of a job to another host;
 	// they may be some megabytes.
@@ -53,6 +54,10 @@
 	defer a.pool.Close()
 	cleaned := time.Now()
 	for ctx.Err() == nil {
+		// First, as a job of the same id may have been handed in since.
+		if err := a.files.Drop(a.server.state.takeDropped()); err != nil {
+			a.server.log.Warn("texts_not_dropped", "error", err)
+		}
 		if err := a.store(); err != nil {
 			a.server.log.Warn("texts_not_stored", "error", err)
 		}
@@ -142,7 +147,7 @@
 	return false
 }
 
-// clean drops the files of jobs that were dropped.
+// clean drops the files of jobs that are not known.
 func (a *archiver) clean() {
 	var names []string
 	a.server.state.read(func(m *jobs.Machine, _ map[string]time.Time) {
@@ -155,13 +160,18 @@
 	}
 }
 
-// texts returns results of an archived job from a position on.
+// texts returns results of an archived job from a position on. Damaged ones are
+// dropped and fetched from another host.
 func (a *archiver) texts(job string, from int) ([]string, error) {
 	texts, err := a.files.Get(job, from, maxReadBytes)
-	if errors.Is(err, archive.ErrMissing) {
-		return nil, outcome.New(outcome.NoQuorum, outcome.NotRun, "the results of job %q are not on this host yet", job)
+	if err == nil {
+		return texts, nil
+	}
+	if errors.Is(err, archive.ErrDamaged) {
+		a.server.log.Error("texts_damaged", "job", job, "error", err, "dropped", a.files.Drop([]string{job}))
+		a.server.state.complete.Store(false)
 	}
-	return texts, err
+	return nil, outcome.New(outcome.NoQuorum, outcome.NotRun, "the results of job %q are not on this host: %v", job, err)
 }
 
 // serveTexts returns all texts of a job to another storage host.
--- a/services/jobhost/archiver_test.go
+++ b/services/jobhost/archiver_test.go
@@ -1,6 +1,8 @@
 package jobhost
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -73,6 +75,52 @@
 	assert.Equal(t, want, found.Results)
 }
 
+// A file that the disk has damaged is fetched from another host.
+func TestDamagedTextsAreFetchedAgain(t *testing.T) {
+	one := newFixture(t, standin.Behaviour{Events: 30})
+	require.NoError(t, one.submit("j", 5))
+	want := one.results("j", 5)
+	one.archived("j")
+	encoded, err := one.host.state.Snapshot()
+	require.NoError(t, err)
+	other := newFixture(t)
+	stores := []rpc.Member{
+		{Name: "s1", Role: rpc.RoleStore, Store: one.host.Storage()},
+		{Name: "s2", Role: rpc.RoleStore, Store: other.host.Storage()},
+	}
+	other.follower.Take(time.Now(), "test", &rpc.FollowPush{Stores: stores})
+	require.NoError(t, other.host.state.Restore(encoded))
+	require.Eventually(t, other.host.state.complete.Load, patience, time.Millisecond)
+
+	files, err := os.ReadDir(filepath.Join(other.dir, archiveFolder))
+	require.NoError(t, err)
+	require.Len(t, files, 1)
+	path := filepath.Join(other.dir, archiveFolder, files[0].Name())
+	content, err := os.ReadFile(path)
+	require.NoError(t, err)
+	content[len(content)/2] ^= 1
+	require.NoError(t, os.WriteFile(path, content, 0o600))
+	require.Eventually(t, func() bool {
+		other.follower.Take(time.Now(), "test", &rpc.FollowPush{Stores: stores})
+		found, err := other.host.readResults(t.Context(), &rpc.JobRead{Workspace: "w", Job: "j"})
+		return err == nil && assert.Equal(t, want, found.Results)
+	}, patience, 10*time.Millisecond)
+}
+
+// The id of a job that was dropped may be used again at once.
+func TestAnIDThatIsUsedAgainHasNoOldTexts(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Events: 3})
+	require.NoError(t, f.submit("j", 1))
+	f.results("j", 1)
+	f.archived("j")
+	_, err := f.host.group.Load().Execute(t.Context(), jobs.Command{Drop: []string{"j"}})
+	require.NoError(t, err)
+	require.NoError(t, f.submit("j", 2))
+	want := f.results("j", 2)
+	f.archived("j")
+	assert.Equal(t, want, f.results("j", 2))
+}
+
 func TestTextsOfDroppedJobsAreDropped(t *testing.T) {
 	f := newFixture(t, standin.Behaviour{Events: 3})
 	require.NoError(t, f.submit("j1", 1))
@@ -83,7 +131,7 @@
 	f.archived("j2")
 	_, err := f.host.group.Load().Execute(t.Context(), jobs.Command{Drop: []string{"j1"}})
 	require.NoError(t, err)
+	require.Eventually(t, func() bool { return !f.host.archiver.files.Has("j1") }, patience, time.Millisecond)
 	f.host.archiver.clean()
-	assert.False(t, f.host.archiver.files.Has("j1"))
 	assert.True(t, f.host.archiver.files.Has("j2"))
 }
--- a/services/jobhost/state.go
+++ b/services/jobhost/state.go
@@ -22,6 +22,7 @@
 	// complete tells that this host holds the texts of all archived jobs. What it
 	// applies from the log comes with its texts; a snapshot does not.
 	complete atomic.Bool
+	dropped  []string // jobs that were dropped since takeDropped
 }
 
 func newJobsState() *jobsState {
@@ -45,6 +46,7 @@
 	for _, id := range decoded.Drop {
 		delete(s.seen, id)
 	}
+	s.dropped = append(s.dropped, decoded.Drop...)
 	s.wake()
 	return answer
 }
@@ -87,6 +89,15 @@
 	}
 }
 
+// takeDropped returns the jobs that were dropped since the call before.
+func (s *jobsState) takeDropped() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	dropped := s.dropped
+	s.dropped = nil
+	return dropped
+}
+
 // wake lets all look that wait for a change. The caller holds the lock.
 func (s *jobsState) wake() {
 	close(s.changed)
