One piece where the change had written two

Cause: read as a whole, the change had written again what stood elsewhere, or twice itself: syncing a folder (wal, archive, payload) and placing a file under its name (wal, archive); the pause that a context ends (standin, replicated, entry, jobhost); which storage host leads (director, follow); serving while the replica hands over (director, jobhost); the listeners of control and relay; the members of a group as addresses; a busy target (entry, jobhost); a path without its query (entry, jobhost); a bucket that is not known yet (quota, twice). Each push to each follower formatted the addresses of all control hosts only to compare them, and jobs.Machine.Jobs copied its list at each review. The latency histogram counted through floats, and Process.program was read by nobody.

Ruled out: sharing the event reader of the first product's gateway (it counts tokens of generations and has no ids) and its admin listener (JSON and its own paths); one rule for gaps in streams and items (they differ where a stream may not be resumed); the two fallbacks to the gateway's own choice in entry (they differ in whether batch is told to give way).

Change: infra/durable; pause.For; rpc.StorageLeader; replicated.Group.Serve, Members and Addrs; Failure.IsBusy; bytes.Cut and strings.Cut; the pusher compares replica ids; Machine keeps its jobs in order. standin.Dialect and Target.Report serve the tests of entry and jobhost, archivedJob and membersOf two tests of the archive; assertions are as they were. Control hosts are pushed in the order of their ids, which no reader minds.

--- a/cmd/banyan-site-control/main.go
+++ b/cmd/banyan-site-control/main.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
+	"github.com/valyala/fasthttp"
 
 	"banyanwalk/cmd/internal/site"
 	"banyanwalk/infra/rpc"
@@ -32,9 +34,6 @@
 }
 
 func run(ctx context.Context, p *site.Process) error {
-	if p.Settings.DataDir == "" {
-		return runRelay(ctx, p)
-	}
 	orders, err := site.Listen("operators", p.Settings.Operators)
 	if err != nil {
 		return err
@@ -43,6 +42,17 @@
 	if err != nil {
 		return err
 	}
+	tasks := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	if p.Settings.DataDir == "" {
+		startRelay(tasks, p, orders, wire)
+	} else if err := startControl(ctx, tasks, p, orders, wire); err != nil {
+		return err
+	}
+	return tasks.Wait()
+}
+
+// startControl starts a control host.
+func startControl(ctx context.Context, tasks *pool.ContextPool, p *site.Process, orders, wire net.Listener) error {
 	joining := !p.Settings.FirstStart || !p.Settings.IsSeed()
 	control, err := director.New(director.Config{
 		Name:         p.Settings.Host,
@@ -59,16 +69,29 @@
 	if err != nil {
 		return err
 	}
-	tasks := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
 	tasks.Go(func(ctx context.Context) error { return control.Run(ctx, wire) })
+	serve(tasks, p, nil, orders, platform.ControlHandler(control, p.Log))
+	return nil
+}
+
+// startRelay starts what a host without a disk does.
+func startRelay(tasks *pool.ContextPool, p *site.Process, orders, wire net.Listener) {
+	config := p.FollowConfig(controlMember(p))
+	config.WithoutSums = true
+	follower := follow.New(config)
+	server := relay.New(follower, p.Log)
+	tasks.Go(follower.Run)
+	tasks.Go(func(ctx context.Context) error { return server.Run(ctx, wire) })
+	serve(tasks, p, follower, orders, platform.RelayHandler(server.Control, p.Settings.Operators))
+}
+
+// serve watches the settings and answers operators and targets.
+func serve(tasks *pool.ContextPool, p *site.Process, follower *follow.Follower, orders net.Listener, handler fasthttp.RequestHandler) {
 	tasks.Go(func(ctx context.Context) error {
-		p.WatchSettings(ctx, nil)
+		p.WatchSettings(ctx, follower)
 		return nil
 	})
-	tasks.Go(func(ctx context.Context) error {
-		return site.ServeHTTP(ctx, orders, platform.ControlHandler(control, p.Log))
-	})
-	return tasks.Wait()
+	tasks.Go(func(ctx context.Context) error { return site.ServeHTTP(ctx, orders, handler) })
 }
 
 // peers returns the control hosts that this one founds the catalog's group with
@@ -92,30 +115,3 @@
 func controlMember(p *site.Process) rpc.Member {
 	return rpc.Member{Name: p.Settings.Host + "/control", Role: rpc.RoleControl, DataCentre: p.Settings.DataCentre}
 }
-
-// runRelay serves on a host without a disk.
-func runRelay(ctx context.Context, p *site.Process) error {
-	orders, err := site.Listen("operators", p.Settings.Operators)
-	if err != nil {
-		return err
-	}
-	wire, err := site.Listen("the site's processes", p.Settings.ControlWire)
-	if err != nil {
-		return err
-	}
-	config := p.FollowConfig(controlMember(p))
-	config.WithoutSums = true
-	follower := follow.New(config)
-	server := relay.New(follower, p.Log)
-	tasks := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
-	tasks.Go(follower.Run)
-	tasks.Go(func(ctx context.Context) error { return server.Run(ctx, wire) })
-	tasks.Go(func(ctx context.Context) error {
-		p.WatchSettings(ctx, follower)
-		return nil
-	})
-	tasks.Go(func(ctx context.Context) error {
-		return site.ServeHTTP(ctx, orders, platform.RelayHandler(server.Control, p.Settings.Operators))
-	})
-	return tasks.Wait()
-}
--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -46,7 +46,6 @@
 	Log      *telemetry.Log
 	Metrics  metrics.Registry
 
-	program      string
 	settingsFile []byte // as it was read at the start
 	metricsPort  int
 	out          *telemetry.AsyncWriter
@@ -73,7 +72,7 @@
 	if err != nil {
 		return errors.Wrap(err, "settings file "+os.Getenv(platform.SettingsVariable))
 	}
-	p := &Process{Settings: loaded, settingsFile: file, Metrics: metrics.NewRegistry(), program: program, metricsPort: port,
+	p := &Process{Settings: loaded, settingsFile: file, Metrics: metrics.NewRegistry(), metricsPort: port,
 		out: telemetry.NewAsyncWriter(os.Stdout), hangups: make(chan os.Signal, 1)}
 	p.Log, err = telemetry.NewLog(telemetry.Options{Process: program + "/" + loaded.Host, DataCentre: loaded.DataCentre, Level: level, Output: p.out})
 	if err != nil {
--- a/core/jobs/machine.go
+++ b/core/jobs/machine.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"slices"
+
 	"banyanwalk/core/outcome"
 )
 
@@ -8,7 +10,7 @@
 // concurrent use.
 type Machine struct {
 	jobs  map[string]*Job
-	order []string // ids in the order of their acceptance
+	order []*Job // in the order of their acceptance
 }
 
 // NewMachine returns the machine before the first command.
@@ -17,14 +19,9 @@
 // Job returns a job by its id, or nil. It must not be changed.
 func (m *Machine) Job(id string) *Job { return m.jobs[id] }
 
-// Jobs returns all jobs in the order of their acceptance.
-func (m *Machine) Jobs() []*Job {
-	all := make([]*Job, 0, len(m.order))
-	for _, id := range m.order {
-		all = append(all, m.jobs[id])
-	}
-	return all
-}
+// Jobs returns all jobs in the order of their acceptance. They must not be
+// changed, nor kept beyond the next command.
+func (m *Machine) Jobs() []*Job { return m.order }
 
 // Apply executes one command.
 func (m *Machine) Apply(c Command) Answer {
@@ -62,7 +59,7 @@
 	}
 	job := &Job{Spec: *s, Listed: make([]bool, len(s.Items)), Failures: make([]int, len(s.Items))}
 	m.jobs[s.ID] = job
-	m.order = append(m.order, s.ID)
+	m.order = append(m.order, job)
 	return Answer{New: job}
 }
 
@@ -174,13 +171,7 @@
 	for _, id := range ids {
 		delete(m.jobs, id)
 	}
-	kept := m.order[:0]
-	for _, id := range m.order {
-		if m.jobs[id] != nil {
-			kept = append(kept, id)
-		}
-	}
-	m.order = kept
+	m.order = slices.DeleteFunc(m.order, func(job *Job) bool { return m.jobs[job.ID] == nil })
 }
 
 // Snapshot is the whole state.
@@ -189,14 +180,14 @@
 }
 
 // Snapshot returns the whole state, which shares its jobs with the machine.
-func (m *Machine) Snapshot() Snapshot { return Snapshot{Jobs: m.Jobs()} }
+func (m *Machine) Snapshot() Snapshot { return Snapshot{Jobs: slices.Clone(m.order)} }
 
 // Restore returns the machine with a given state.
 func Restore(s Snapshot) *Machine {
 	m := NewMachine()
+	m.order = slices.Clone(s.Jobs)
 	for _, job := range s.Jobs {
 		m.jobs[job.ID] = job
-		m.order = append(m.order, job.ID)
 	}
 	return m
 }
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -95,11 +95,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for workspace, total := range spent {
-		held := b.buckets[workspace]
-		if held == nil {
-			held = &bucket{heard: make(map[string]uint64), level: math.NaN()}
-			b.buckets[workspace] = held
-		}
+		held := b.known(workspace)
 		before, known := held.heard[source]
 		held.heard[source] = total
 		if known {
@@ -162,12 +158,19 @@
 	b.sharers = max(1, float64(gateways))
 }
 
-func (b *Buckets) bucket(now time.Time, workspace string, rate Rate) *bucket {
+// known returns the bucket of a workspace, whose level is not a number until
+// the first request.
+func (b *Buckets) known(workspace string) *bucket {
 	held := b.buckets[workspace]
 	if held == nil {
 		held = &bucket{heard: make(map[string]uint64), level: math.NaN()}
 		b.buckets[workspace] = held
 	}
+	return held
+}
+
+func (b *Buckets) bucket(now time.Time, workspace string, rate Rate) *bucket {
+	held := b.known(workspace)
 	if math.IsNaN(held.level) {
 		held.level = min(rate.Burst, 1+rate.PerSecond*startSeconds)
 		if b.debts != nil {
--- a/infra/archive/archive.go
+++ b/infra/archive/archive.go
@@ -15,19 +15,19 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"banyanwalk/infra/durable"
 )
 
 // Layout of a file: magic, number of texts, for each one its length and its
 // CRC32C, then the CRC32C of all that; then the texts. Little endian.
 const (
-	magic      uint32 = 0x41575942
-	headSize          = 4 + 4
-	entrySize         = 4 + 4
-	sumSize           = 4
-	maxTexts          = 1 << 20
-	tempSuffix        = ".tmp"
-	dirMode           = 0o700
-	fileMode          = 0o600
+	magic     uint32 = 0x41575942
+	headSize         = 4 + 4
+	entrySize        = 4 + 4
+	sumSize          = 4
+	maxTexts         = 1 << 20
+	dirMode          = 0o700
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -52,7 +52,7 @@
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return nil, errors.Wrap(err, "create archive")
 	}
-	if err := syncDir(filepath.Dir(dir)); err != nil {
+	if err := durable.SyncDir(filepath.Dir(dir)); err != nil {
 		return nil, err
 	}
 	entries, err := os.ReadDir(dir)
@@ -61,7 +61,7 @@
 	}
 	a := &Archive{dir: dir, files: make(map[string]bool, len(entries))}
 	for _, entry := range entries {
-		if !strings.HasSuffix(entry.Name(), tempSuffix) {
+		if !strings.HasSuffix(entry.Name(), durable.TempSuffix) {
 			a.files[entry.Name()] = true
 			continue
 		}
@@ -79,10 +79,12 @@
 }
 
 // Has reports whether texts are kept under a name.
-func (a *Archive) Has(name string) bool {
+func (a *Archive) Has(name string) bool { return a.holds(fileOf(name)) }
+
+func (a *Archive) holds(file string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.files[fileOf(name)]
+	return a.files[file]
 }
 
 // Entry is what is to be kept under one name.
@@ -95,11 +97,12 @@
 func (a *Archive) Put(entries []Entry) error {
 	var written []string
 	for i := range entries {
-		if a.Has(entries[i].Name) {
+		file := fileOf(entries[i].Name)
+		if a.holds(file) {
 			continue
 		}
-		file := fileOf(entries[i].Name)
-		if err := a.write(file, entries[i].Texts); err != nil {
+		err := durable.Place(filepath.Join(a.dir, file), func(f io.Writer) error { return writeTexts(f, entries[i].Texts) })
+		if err != nil {
 			return err
 		}
 		written = append(written, file)
@@ -107,7 +110,7 @@
 	if len(written) == 0 {
 		return nil
 	}
-	if err := syncDir(a.dir); err != nil {
+	if err := durable.SyncDir(a.dir); err != nil {
 		return err
 	}
 	a.mu.Lock()
@@ -118,26 +121,6 @@
 	return nil
 }
 
-// write writes one file and makes its content durable.
-func (a *Archive) write(file string, texts []string) error {
-	path := filepath.Join(a.dir, file)
-	f, err := os.OpenFile(path+tempSuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
-	if err != nil {
-		return errors.Wrap(err, "create archive file")
-	}
-	err = writeTexts(f, texts)
-	if err == nil {
-		err = f.Sync()
-	}
-	if closeErr := f.Close(); err == nil {
-		err = closeErr
-	}
-	if err == nil {
-		err = os.Rename(path+tempSuffix, path)
-	}
-	return errors.Wrap(err, "write archive file")
-}
-
 func writeTexts(f io.Writer, texts []string) error {
 	head := binary.LittleEndian.AppendUint32(nil, magic)
 	head = binary.LittleEndian.AppendUint32(head, uint32(len(texts)))
@@ -161,10 +144,11 @@
 // Get returns the texts of a name from a position on, up to the first one with
 // which they have maxBytes or more.
 func (a *Archive) Get(name string, from, maxBytes int) ([]string, error) {
-	if !a.Has(name) {
+	file := fileOf(name)
+	if !a.holds(file) {
 		return nil, ErrMissing
 	}
-	f, err := os.Open(filepath.Join(a.dir, fileOf(name)))
+	f, err := os.Open(filepath.Join(a.dir, file))
 	if err != nil {
 		return nil, errors.Wrap(err, "open archive file")
 	}
@@ -277,12 +261,3 @@
 	}
 	return nil
 }
-
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return errors.Wrap(err, "open folder")
-	}
-	defer d.Close()
-	return errors.Wrap(d.Sync(), "sync folder")
-}
--- a/infra/archive/archive_test.go
+++ b/infra/archive/archive_test.go
@@ -8,8 +8,12 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"banyanwalk/infra/durable"
 )
 
+const testMode = 0o600
+
 func TestWhatIsPutIsGot(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "texts")
 	a, err := Open(dir)
@@ -53,7 +57,7 @@
 
 func TestInterruptedWritesAreDropped(t *testing.T) {
 	dir := t.TempDir()
-	require.NoError(t, os.WriteFile(filepath.Join(dir, fileOf("one")+tempSuffix), []byte("half"), fileMode))
+	require.NoError(t, os.WriteFile(filepath.Join(dir, fileOf("one")+durable.TempSuffix), []byte("half"), testMode))
 	a, err := Open(dir)
 	require.NoError(t, err)
 	assert.False(t, a.Has("one"))
@@ -73,11 +77,11 @@
 	for at := range whole {
 		damaged := append([]byte(nil), whole...)
 		damaged[at] ^= 1
-		require.NoError(t, os.WriteFile(path, damaged, fileMode))
+		require.NoError(t, os.WriteFile(path, damaged, testMode))
 		_, err := a.Get("one", 0, 100)
 		assert.ErrorIs(t, err, ErrDamaged, at)
 	}
-	require.NoError(t, os.WriteFile(path, whole[:len(whole)-1], fileMode))
+	require.NoError(t, os.WriteFile(path, whole[:len(whole)-1], testMode))
 	_, err = a.Get("one", 0, 100)
 	assert.ErrorIs(t, err, ErrDamaged)
 	require.NoError(t, a.Drop([]string{"one", "unknown"}))
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -60,6 +60,18 @@
 	return s.ID ^ s.Term<<idBits
 }
 
+// StorageLeader returns the index of the storage host that leads the newest
+// term, or -1. All members are storage hosts.
+func StorageLeader(hosts []Member) int {
+	leader := -1
+	for i := range hosts {
+		if hosts[i].Store.Leads && (leader < 0 || hosts[i].Store.Term > hosts[leader].Store.Term) {
+			leader = i
+		}
+	}
+	return leader
+}
+
 // MemberLoad is a member with what it does. Sequence rises with each report.
 type MemberLoad struct {
 	Member   Member                    `msgpack:"m"`
--- a/infra/telemetry/latency.go
+++ b/infra/telemetry/latency.go
@@ -59,17 +59,15 @@
 	return &latency{values: hdrhistogram.Import(l.values.Export()), sum: l.sum}
 }
 
-// read calls f with the values, which it must not keep.
-func (l *latency) read(f func(values *hdrhistogram.Histogram) float64) float64 {
+// read returns what f finds in the values, which it must not keep.
+func read[T int64 | float64](l *latency, f func(values *hdrhistogram.Histogram) T) T {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return f(l.values)
 }
 
 // Count returns how many values there are.
-func (l *latency) Count() int64 {
-	return int64(l.read(func(v *hdrhistogram.Histogram) float64 { return float64(v.TotalCount()) }))
-}
+func (l *latency) Count() int64 { return read(l, (*hdrhistogram.Histogram).TotalCount) }
 
 // Sum returns the sum of the values.
 func (l *latency) Sum() int64 {
@@ -79,20 +77,16 @@
 }
 
 // Max returns the largest value.
-func (l *latency) Max() int64 {
-	return int64(l.read(func(v *hdrhistogram.Histogram) float64 { return float64(v.Max()) }))
-}
+func (l *latency) Max() int64 { return read(l, (*hdrhistogram.Histogram).Max) }
 
 // Min returns the smallest value.
-func (l *latency) Min() int64 {
-	return int64(l.read(func(v *hdrhistogram.Histogram) float64 { return float64(v.Min()) }))
-}
+func (l *latency) Min() int64 { return read(l, (*hdrhistogram.Histogram).Min) }
 
 // Mean returns the mean of the values.
-func (l *latency) Mean() float64 { return l.read((*hdrhistogram.Histogram).Mean) }
+func (l *latency) Mean() float64 { return read(l, (*hdrhistogram.Histogram).Mean) }
 
 // StdDev returns the standard deviation of the values.
-func (l *latency) StdDev() float64 { return l.read((*hdrhistogram.Histogram).StdDev) }
+func (l *latency) StdDev() float64 { return read(l, (*hdrhistogram.Histogram).StdDev) }
 
 // Variance returns the square of the standard deviation.
 func (l *latency) Variance() float64 { return math.Pow(l.StdDev(), 2) }
@@ -100,7 +94,7 @@
 // Percentile returns a quantile; p is between 0 and 1.
 func (l *latency) Percentile(p float64) float64 {
 	const percent = 100
-	return l.read(func(v *hdrhistogram.Histogram) float64 { return float64(v.ValueAtQuantile(percent * p)) })
+	return float64(read(l, func(v *hdrhistogram.Histogram) int64 { return v.ValueAtQuantile(percent * p) }))
 }
 
 // Percentiles returns several quantiles.
--- a/infra/wal/folder.go
+++ b/infra/wal/folder.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+
+	"banyanwalk/infra/durable"
 )
 
 const (
@@ -34,7 +36,7 @@
 		return err
 	}
 	text := incarnationText(incarnation)
-	if err := writeFile(filepath.Join(fresh, incarnationName), []byte(text)); err != nil {
+	if err := durable.WriteFile(filepath.Join(fresh, incarnationName), []byte(text)); err != nil {
 		return err
 	}
 	payload, err := encodeRecord(&record{})
@@ -42,13 +44,13 @@
 		return err
 	}
 	frame := appendFrame(nil, incarnation, 1, payload)
-	if err := writeFile(segmentPath(fresh, 1), frame); err != nil {
+	if err := durable.WriteFile(segmentPath(fresh, 1), frame); err != nil {
 		return err
 	}
 	if err := os.Rename(fresh, filepath.Join(dir, folderName)); err != nil {
 		return errors.Wrap(err, "name folder")
 	}
-	return syncDir(dir)
+	return durable.SyncDir(dir)
 }
 
 // newIncarnation draws a random number, never zero.
--- a/infra/wal/segment.go
+++ b/infra/wal/segment.go
@@ -15,7 +15,6 @@
 const (
 	segmentSuffix  = ".wal"
 	snapshotSuffix = ".snap"
-	tempSuffix     = ".tmp"
 	fileMode       = 0o600
 	folderMode     = 0o700
 )
@@ -85,40 +84,3 @@
 	}
 	return s, nil
 }
-
-// syncDir makes the names in dir durable.
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return errors.Wrap(err, "open folder")
-	}
-	defer d.Close()
-	return errors.Wrap(d.Sync(), "sync folder")
-}
-
-// writeFile writes a new file and makes it durable under its final name.
-func writeFile(path string, parts ...[]byte) error {
-	temp := path + tempSuffix
-	f, err := os.OpenFile(temp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
-	if err != nil {
-		return errors.Wrap(err, "create file")
-	}
-	for _, part := range parts {
-		if err == nil {
-			_, err = f.Write(part)
-		}
-	}
-	if err == nil {
-		err = f.Sync()
-	}
-	if closeErr := f.Close(); err == nil {
-		err = closeErr
-	}
-	if err != nil {
-		return errors.Wrap(err, "write file")
-	}
-	if err := os.Rename(temp, path); err != nil {
-		return errors.Wrap(err, "rename file")
-	}
-	return syncDir(filepath.Dir(path))
-}
--- a/infra/wal/snapshot.go
+++ b/infra/wal/snapshot.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"banyanwalk/core/raft"
+	"banyanwalk/infra/durable"
 )
 
 func snapshotPath(dir string, index, term uint64) string {
@@ -27,7 +28,7 @@
 		return errors.Newf("wal: snapshot of %d bytes", len(payload))
 	}
 	head := appendFrameHead(nil, l.incarnation, s.Index, payload)
-	return writeFile(snapshotPath(l.dir, s.Index, s.Term), head, payload)
+	return durable.WriteFile(snapshotPath(l.dir, s.Index, s.Term), head, payload)
 }
 
 // readSnapshot loads the snapshot in force.
@@ -63,7 +64,7 @@
 	oldest := filepath.Base(snapshotPath(dir, former.Index, former.Term))
 	newest := filepath.Base(snapshotPath(dir, mark.Index, mark.Term))
 	for _, name := range names {
-		isTemp := strings.HasSuffix(name.Name(), tempSuffix)
+		isTemp := strings.HasSuffix(name.Name(), durable.TempSuffix)
 		isSnapshot := strings.HasSuffix(name.Name(), snapshotSuffix)
 		stale := isSnapshot && name.Name() < oldest
 		if opening {
--- a/infra/wal/wal.go
+++ b/infra/wal/wal.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"banyanwalk/core/raft"
+	"banyanwalk/infra/durable"
 )
 
 // ErrDamaged means that synced bytes cannot be read any more: the disk counts
@@ -167,7 +168,7 @@
 			return errors.Wrap(err, "remove unfinished segment")
 		}
 		l.segments = l.segments[:len(l.segments)-1]
-		if err := syncDir(l.dir); err != nil {
+		if err := durable.SyncDir(l.dir); err != nil {
 			return err
 		}
 		return l.startSegment()
@@ -287,7 +288,7 @@
 	if err := l.writeFrame(&record{HardState: &hs, Mark: &mark}); err != nil {
 		return err
 	}
-	return syncDir(l.dir)
+	return durable.SyncDir(l.dir)
 }
 
 // prune removes the oldest segments that hold only entries of the snapshot that
--- a/services/control/payload/reclaim.go
+++ b/services/control/payload/reclaim.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"banyanwalk/core/batch"
+	"banyanwalk/infra/durable"
 )
 
 const (
@@ -107,5 +108,5 @@
 	if freed == 0 {
 		return 0, nil
 	}
-	return freed, syncDir(s.dir)
+	return freed, durable.SyncDir(s.dir)
 }
--- a/services/control/payload/segment.go
+++ b/services/control/payload/segment.go
@@ -110,12 +110,3 @@
 	}
 	return errors.Wrap(err, "read segment")
 }
-
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return errors.Wrap(err, "open folder")
-	}
-	defer d.Close()
-	return errors.Wrap(d.Sync(), "sync folder")
-}
--- a/services/control/payload/store.go
+++ b/services/control/payload/store.go
@@ -11,6 +11,7 @@
 
 	"banyanwalk/core/batch"
 	"banyanwalk/core/outcome"
+	"banyanwalk/infra/durable"
 )
 
 // DefaultSegmentBytes is the size at which a new segment is begun.
@@ -136,7 +137,7 @@
 	}
 	s.active = &segment{id: id, file: f}
 	s.segments[id] = s.active
-	return syncDir(s.dir)
+	return durable.SyncDir(s.dir)
 }
 
 // RefOf returns the name of a record.
--- a/services/director/director.go
+++ b/services/director/director.go
@@ -128,14 +128,8 @@
 
 // Run serves other processes on l until ctx ends.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
-	carrying, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
 	p := pool.New().WithErrors().WithFirstError()
-	p.Go(func() error { return s.wire.Serve(carrying, l) })
-	p.Go(func() error {
-		defer stop()
-		return s.group.Run(ctx)
-	})
+	p.Go(func() error { return s.group.Serve(ctx, s.wire, l) })
 	p.Go(func() error { return s.housekeep(ctx) })
 	p.Go(func() error {
 		s.confirm(ctx)
--- a/services/director/follow.go
+++ b/services/director/follow.go
@@ -95,7 +95,7 @@
 	revision uint64       // of the board, sent
 	catalog  uint64       // revision of the catalog, sent
 	stores   []rpc.Member
-	controls []string
+	controls []uint64  // replica ids, sent
 	listed   time.Time // when the storage hosts were sent last
 	summed   time.Time // when Others was sent last
 	sent     time.Time
@@ -109,8 +109,8 @@
 		push.Catalog = packed
 		p.catalog = packed.State.Revision
 	}
-	if controls := p.server.controls(); !slices.Equal(controls, p.controls) {
-		push.Controls = controls
+	if controls := p.server.group.Members(); !slices.Equal(controls, p.controls) {
+		push.Controls = replicated.Addrs(controls)
 		p.controls = controls
 	}
 	p.addStores(now, &push)
@@ -150,19 +150,3 @@
 	p.summed = now
 	push.Others = p.server.board.others(now, p.name)
 }
-
-// controls returns the wire addresses of the control hosts, as the group knows
-// them, sorted.
-func (s *Server) controls() []string {
-	status := s.group.Replica().Status()
-	var addrs []string
-	for _, set := range [][]uint64{replicated.IDs(status.Voters), replicated.IDs(status.Outgoing), replicated.IDs(status.Learners)} {
-		for _, id := range set {
-			if addr, found := replicated.Addr(id); found {
-				addrs = append(addrs, addr)
-			}
-		}
-	}
-	slices.Sort(addrs)
-	return slices.Compact(addrs)
-}
--- a/services/director/status.go
+++ b/services/director/status.go
@@ -16,7 +16,7 @@
 	members, targets := s.board.status(time.Now())
 	return &rpc.SiteStatus{
 		Host: s.cfg.Name, Replica: s.group.Status(), Current: s.isCurrent(), Version: state.Version, Out: state.Out,
-		Retired: state.Retired, Controls: s.controls(), Members: members, Targets: targets,
+		Retired: state.Retired, Controls: replicated.Addrs(s.group.Members()), Members: members, Targets: targets,
 	}, nil
 }
 
--- a/services/director/storage.go
+++ b/services/director/storage.go
@@ -149,11 +149,8 @@
 // storeLeader returns the state of the storage host that leads the newest
 // term, or nil.
 func storeLeader(hosts []rpc.Member) *rpc.StorageState {
-	var newest *rpc.StorageState
-	for _, m := range hosts {
-		if m.Store.Leads && (newest == nil || m.Store.Term > newest.Term) {
-			newest = m.Store
-		}
+	if leader := rpc.StorageLeader(hosts); leader >= 0 {
+		return hosts[leader].Store
 	}
-	return newest
+	return nil
 }
--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -18,13 +18,11 @@
 	"github.com/valyala/fasthttp"
 
 	"banyanwalk/core/catalog"
-	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/follow"
 	"banyanwalk/services/standin"
-	"banyanwalk/services/targetcall"
 )
 
 const (
@@ -32,10 +30,7 @@
 	host     = "a.example"
 )
 
-var dialect = targetcall.Dialect{
-	RequestID: "X-Id", Deadline: "X-Deadline", Expect: "X-Expect", Workspace: "X-Workspace", LastEventID: "Last-Event-Id",
-	NotRun: "X-Not-Run", Signature: "X-Signature", Key: "X-Key",
-}
+var dialect = standin.Dialect()
 
 // noJobs serves no jobs.
 type noJobs struct{}
@@ -91,9 +86,7 @@
 		require.NoError(t, err)
 		t.Cleanup(target.Close)
 		f.targets = append(f.targets, target)
-		push.Targets = append(push.Targets, rpc.TargetReport{Report: roster.Report{
-			ID: target.ID, Born: 1, Sequence: 1, Service: "llm", Addr: target.Addr, DataCentre: "a", Slots: 8, State: roster.Ready,
-		}})
+		push.Targets = append(push.Targets, target.Report("llm", "a", 8))
 	}
 	f.follower.Take(time.Now(), "test", push)
 	config := Config{Name: "g", DataCentre: "a", Follower: f.follower, Dialect: dialect, Jobs: noJobs{},
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -261,8 +261,7 @@
 func (f *forwarding) note(failure *targetcall.Failure) {
 	s := f.server
 	f.tried[f.target.ID] = true
-	busy := failure.Outcome == outcome.NotRun && failure.Status != 0
-	if !busy && f.ctx.Err() == nil {
+	if !failure.IsBusy() && f.ctx.Err() == nil {
 		f.failed = true
 		s.follower.Targets.Failed(time.Now(), f.target.ID)
 	}
--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -112,13 +112,8 @@
 
 // rawPath returns the path as the caller sent it, without the query.
 func rawPath(ctx *fasthttp.RequestCtx) string {
-	uri := ctx.Request.Header.RequestURI()
-	for i, b := range uri {
-		if b == '?' {
-			return string(uri[:i])
-		}
-	}
-	return string(uri)
+	path, _, _ := bytes.Cut(ctx.Request.Header.RequestURI(), []byte("?"))
+	return string(path)
 }
 
 func (s *Server) authenticate(ctx *fasthttp.RequestCtx, c *call) error {
--- a/services/entry/jobs.go
+++ b/services/entry/jobs.go
@@ -10,6 +10,7 @@
 	"banyanwalk/core/jobs"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/routing"
+	"banyanwalk/infra/pause"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/wire"
 	"banyanwalk/services/follow"
@@ -194,10 +195,8 @@
 				worst = outcome.MayHaveRun
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, hostPause) {
 			return outcome.New(outcome.NoQuorum, worst, "no storage host answered: %v", last).After(jobRetry)
-		case <-time.After(hostPause):
 		}
 	}
 }
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -172,14 +172,10 @@
 		return nil
 	}
 	hosts := make([]rpc.StorageState, 0, len(f.stores))
-	leader := -1
 	for _, m := range f.stores {
 		hosts = append(hosts, *m.Store)
-		if m.Store.Leads && (leader < 0 || m.Store.Term > hosts[leader].Term) {
-			leader = len(hosts) - 1
-		}
 	}
-	if leader > 0 {
+	if leader := rpc.StorageLeader(f.stores); leader > 0 {
 		hosts[0], hosts[leader] = hosts[leader], hosts[0]
 	}
 	return hosts
--- a/services/jobhost/archiver_test.go
+++ b/services/jobhost/archiver_test.go
@@ -25,6 +25,25 @@
 	}, patience, time.Millisecond)
 }
 
+// archivedJob returns a host with the archived job "j" of five items, its
+// results and the host's snapshot.
+func archivedJob(t *testing.T) (f *fixture, results []rpc.JobResult, snapshot []byte) {
+	f = newFixture(t, standin.Behaviour{Events: 30})
+	require.NoError(t, f.submit("j", 5))
+	results = f.results("j", 5)
+	f.archived("j")
+	snapshot, err := f.host.state.Snapshot()
+	require.NoError(t, err)
+	return f, results, snapshot
+}
+
+func membersOf(one, other *fixture) []rpc.Member {
+	return []rpc.Member{
+		{Name: "s1", Role: rpc.RoleStore, Store: one.host.Storage()},
+		{Name: "s2", Role: rpc.RoleStore, Store: other.host.Storage()},
+	}
+}
+
 // Results that are kept in memory and in each snapshot outgrow a host
 // (nsl-dakar-grown quiet-1 with 130 s of traffic: all storage hosts ended, over
 // and over, with memory over the limit).
@@ -52,23 +71,14 @@
 // A host whose state comes from a snapshot fetches the texts; until then it
 // takes no vote and answers no read of them.
 func TestTextsThatASnapshotLeavesOutAreFetched(t *testing.T) {
-	one := newFixture(t, standin.Behaviour{Events: 30})
-	require.NoError(t, one.submit("j", 5))
-	want := one.results("j", 5)
-	one.archived("j")
-	encoded, err := one.host.state.Snapshot()
-	require.NoError(t, err)
-
+	one, want, encoded := archivedJob(t)
 	other := newFixture(t)
 	require.NoError(t, other.host.state.Restore(encoded))
 	assert.False(t, other.host.state.complete.Load())
-	_, err = other.host.readResults(t.Context(), &rpc.JobRead{Workspace: "w", Job: "j"})
+	_, err := other.host.readResults(t.Context(), &rpc.JobRead{Workspace: "w", Job: "j"})
 	require.Error(t, err)
 	assert.True(t, outcome.IsCode(err, outcome.NoQuorum), "%v", err)
-	other.follower.Take(time.Now(), "test", &rpc.FollowPush{Stores: []rpc.Member{
-		{Name: "s1", Role: rpc.RoleStore, Store: one.host.Storage()},
-		{Name: "s2", Role: rpc.RoleStore, Store: other.host.Storage()},
-	}})
+	other.follower.Take(time.Now(), "test", &rpc.FollowPush{Stores: membersOf(one, other)})
 	require.Eventually(t, other.host.state.complete.Load, patience, time.Millisecond)
 	found, err := other.host.readResults(t.Context(), &rpc.JobRead{Workspace: "w", Job: "j"})
 	require.NoError(t, err)
@@ -77,17 +87,9 @@
 
 // A file that the disk has damaged is fetched from another host.
 func TestDamagedTextsAreFetchedAgain(t *testing.T) {
-	one := newFixture(t, standin.Behaviour{Events: 30})
-	require.NoError(t, one.submit("j", 5))
-	want := one.results("j", 5)
-	one.archived("j")
-	encoded, err := one.host.state.Snapshot()
-	require.NoError(t, err)
+	one, want, encoded := archivedJob(t)
 	other := newFixture(t)
-	stores := []rpc.Member{
-		{Name: "s1", Role: rpc.RoleStore, Store: one.host.Storage()},
-		{Name: "s2", Role: rpc.RoleStore, Store: other.host.Storage()},
-	}
+	stores := membersOf(one, other)
 	other.follower.Take(time.Now(), "test", &rpc.FollowPush{Stores: stores})
 	require.NoError(t, other.host.state.Restore(encoded))
 	require.Eventually(t, other.host.state.complete.Load, patience, time.Millisecond)
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -133,14 +133,8 @@
 	wire.HandleUnary(s.wire, rpc.MethodSlotRelease, s.broker.release)
 	s.group.Store(group)
 	s.cfg.Follower.Nudge()
-	carrying, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
 	p := pool.New().WithErrors().WithFirstError()
-	p.Go(func() error { return s.wire.Serve(carrying, l) })
-	p.Go(func() error {
-		defer stop()
-		return group.Run(ctx)
-	})
+	p.Go(func() error { return group.Serve(ctx, s.wire, l) })
 	p.Go(func() error { return s.runner.run(ctx) })
 	p.Go(func() error { return s.review(ctx, group) })
 	p.Go(func() error {
--- a/services/jobhost/jobhost_test.go
+++ b/services/jobhost/jobhost_test.go
@@ -17,14 +17,12 @@
 	"banyanwalk/core/catalog"
 	"banyanwalk/core/jobs"
 	"banyanwalk/core/outcome"
-	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/follow"
 	"banyanwalk/services/replicated"
 	"banyanwalk/services/standin"
-	"banyanwalk/services/targetcall"
 )
 
 const (
@@ -32,10 +30,7 @@
 	slots    = 4                // of each target
 )
 
-var dialect = targetcall.Dialect{
-	RequestID: "X-Id", Deadline: "X-Deadline", Expect: "X-Expect", Workspace: "X-Workspace", LastEventID: "Last-Event-Id",
-	NotRun: "X-Not-Run", Signature: "X-Signature",
-}
+var dialect = standin.Dialect()
 
 func document(prefix string) *routing.Document {
 	return &routing.Document{
@@ -78,9 +73,7 @@
 		require.NoError(t, err)
 		t.Cleanup(target.Close)
 		f.targets = append(f.targets, target)
-		push.Targets = append(push.Targets, rpc.TargetReport{Report: roster.Report{
-			ID: target.ID, Born: 1, Sequence: 1, Service: "llm", Addr: target.Addr, Slots: slots, State: roster.Ready,
-		}})
+		push.Targets = append(push.Targets, target.Report("llm", "", slots))
 	}
 	f.follower.Take(time.Now(), "test", push)
 	f.catalog(id)
--- a/services/jobhost/membership.go
+++ b/services/jobhost/membership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"banyanwalk/core/jobs"
+	"banyanwalk/infra/pause"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/services/replicated"
 )
@@ -75,10 +76,8 @@
 		return true
 	}
 	for !isNeeded(id, s.cfg.Voters+spareLearners, s.cfg.Follower.Stores()) {
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, reviewEvery) {
 			return false
-		case <-time.After(reviewEvery):
 		}
 	}
 	return true
--- a/services/jobhost/order.go
+++ b/services/jobhost/order.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"banyanwalk/core/jobs"
@@ -64,7 +65,8 @@
 	if table == nil {
 		return
 	}
-	route := table.Route(job.Host, pathOf(work.Path))
+	path, _, _ := strings.Cut(work.Path, "?")
+	route := table.Route(job.Host, path)
 	if route == nil {
 		r.giveUp(ref, "its route is gone")
 		return
@@ -97,15 +99,6 @@
 	r.wg.Go(func() { started.execute(running) })
 }
 
-func pathOf(uri string) string {
-	for i := range uri {
-		if uri[i] == '?' {
-			return uri[:i]
-		}
-	}
-	return uri
-}
-
 // request returns what goes to the target of an item.
 func (r *runner) request(job *jobs.Job, item *jobs.Item, deadline time.Time) *targetcall.Request {
 	header := make(http.Header, len(item.Headers))
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"banyanwalk/core/jobs"
-	"banyanwalk/core/outcome"
 	"banyanwalk/core/roster"
 	"banyanwalk/services/targetcall"
 )
@@ -98,8 +97,7 @@
 func (u *run) broken(err error) {
 	r := u.runner
 	var failure *targetcall.Failure
-	busy := errors.As(err, &failure) && failure.Outcome == outcome.NotRun && failure.Status != 0
-	if !busy {
+	if !errors.As(err, &failure) || !failure.IsBusy() {
 		r.follower.Targets.Failed(time.Now(), u.target.ID)
 	}
 	u.progress.notBefore = time.Now().Add(retryPause)
--- a/services/replicated/group.go
+++ b/services/replicated/group.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"encoding/binary"
 	"math"
+	"net"
 	"net/netip"
 	"os"
 	"time"
@@ -19,6 +20,7 @@
 
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/raft"
+	"banyanwalk/infra/pause"
 	"banyanwalk/infra/rafttransport"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
@@ -151,8 +153,22 @@
 	wire.HandleUnary(s, rpc.MethodPropose, g.serveProposal)
 }
 
-// Run drives the replica until ctx ends.
-func (g *Group[R]) Run(ctx context.Context) error {
+// Serve drives the replica until ctx ends. The host's server answers on l until
+// the replica has handed its leadership over.
+func (g *Group[R]) Serve(ctx context.Context, server *wire.Server, l net.Listener) error {
+	carrying, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	p := pool.New().WithErrors().WithFirstError()
+	p.Go(func() error { return server.Serve(carrying, l) })
+	p.Go(func() error {
+		defer stop()
+		return g.run(ctx)
+	})
+	return p.Wait()
+}
+
+// run drives the replica until ctx ends.
+func (g *Group[R]) run(ctx context.Context) error {
 	defer g.calls.Close()
 	carrying, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -191,10 +207,8 @@
 		if err == nil || outcome.From(err).Outcome != outcome.NotRun {
 			return result, err
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, leaderPause) {
 			return nil, err
-		case <-time.After(leaderPause):
 		}
 	}
 }
--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -3,7 +3,6 @@
 package standin
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,6 +14,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"banyanwalk/core/roster"
+	"banyanwalk/infra/pause"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/services/targetcall"
 )
 
@@ -57,6 +59,21 @@
 	runs      []*Run
 }
 
+// Dialect returns header names for tests that need no provider's.
+func Dialect() targetcall.Dialect {
+	return targetcall.Dialect{
+		RequestID: "X-Id", Deadline: "X-Deadline", Expect: "X-Expect", Workspace: "X-Workspace", LastEventID: "Last-Event-Id",
+		NotRun: "X-Not-Run", Signature: "X-Signature", Key: "X-Key",
+	}
+}
+
+// Report is what the target would say of itself when it is ready.
+func (t *Target) Report(service, dataCentre string, slots int) rpc.TargetReport {
+	return rpc.TargetReport{Report: roster.Report{
+		ID: t.ID, Born: 1, Sequence: 1, Service: service, Addr: t.Addr, DataCentre: dataCentre, Slots: slots, State: roster.Ready,
+	}}
+}
+
 // NewTarget starts a target on a loopback address. Close ends it.
 func NewTarget(id string, dialect targetcall.Dialect, behaviour Behaviour) (*Target, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -176,7 +193,7 @@
 			<-r.Context().Done()
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(run.ID, n))
-		if flush() != nil || !wait(r.Context(), b.Pause) {
+		if flush() != nil || !pause.For(r.Context(), b.Pause) {
 			t.mu.Lock()
 			run.Gone = true
 			t.mu.Unlock()
@@ -186,19 +203,6 @@
 	}
 }
 
-// wait reports whether the caller is still there after d.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // answerStray writes the answer to another request where that to r is due.
 func (t *Target) answerStray(w http.ResponseWriter, r *http.Request) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -46,6 +46,9 @@
 	return fmt.Sprintf("%s (status %d, %s)", f.Reason, f.Status, f.Outcome)
 }
 
+// IsBusy reports whether the target answered that it has no place: it is sound.
+func (f *Failure) IsBusy() bool { return f.Outcome == outcome.NotRun && f.Status != 0 }
+
 // Answer is the answer of a target, whose body is still to be read. Close must
 // be called.
 type Answer struct {
