--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -31,12 +31,14 @@
 	NoSignature   bool          // omit the signature header
 	Pause         time.Duration // between two events, and before a plain response
 	StrayResponse bool          // send a response to another request first
+	Crash         bool          // end the target as soon as it runs the request
 }
 
 // Run records one request that a stub target started to run.
 type Run struct {
 	ID           string // of the request
 	Target       string
+	StartedAt    time.Time
 	Workspace    string
 	LastEventID  int64 // event id to resume after; 0: from the start
 	Host         string
@@ -53,6 +55,7 @@
 	headers targetcall.HeaderNames
 	server  *http.Server
 	serving conc.WaitGroup
+	crashed chan struct{} // closed when a request has ended the target
 
 	mu        sync.Mutex
 	behaviour func(id string) Behaviour
@@ -77,11 +80,16 @@
 
 // NewTarget starts a stub target on a loopback address. Close stops it.
 func NewTarget(id string, headers targetcall.HeaderNames, behaviour Behaviour) (*Target, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return NewTargetAt(id, "127.0.0.1:0", headers, behaviour)
+}
+
+// NewTargetAt starts a stub target on the given address. Close stops it.
+func NewTargetAt(id, addr string, headers targetcall.HeaderNames, behaviour Behaviour) (*Target, error) {
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for stub target")
 	}
-	t := &Target{ID: id, Addr: l.Addr().String(), headers: headers}
+	t := &Target{ID: id, Addr: l.Addr().String(), headers: headers, crashed: make(chan struct{})}
 	t.SetBehaviour(func(string) Behaviour { return behaviour })
 	t.server = &http.Server{Handler: t, ReadHeaderTimeout: time.Minute}
 	t.serving.Go(func() { _ = t.server.Serve(l) }) // Serve always returns an error after Close
@@ -94,6 +102,9 @@
 	t.serving.Wait()
 }
 
+// Crashed returns a channel that is closed when a request has ended the target.
+func (t *Target) Crashed() <-chan struct{} { return t.crashed }
+
 // SetBehaviour replaces the behaviour, which is chosen by request id.
 func (t *Target) SetBehaviour(behaviour func(id string) Behaviour) {
 	t.mu.Lock()
@@ -132,6 +143,9 @@
 		t.serveStrayResponse(w, r)
 	}
 	run := t.recordRun(r, id)
+	if behaviour.Crash {
+		t.crash()
+	}
 	if !behaviour.NoSignature {
 		w.Header().Set(t.headers.Signature, Signature(id))
 	}
@@ -146,6 +160,20 @@
 	fmt.Fprint(w, ResponseBody(id))
 }
 
+// crash closes the listener and all connections, as the end of a process does,
+// and aborts the calling handler.
+func (t *Target) crash() {
+	t.mu.Lock()
+	select {
+	case <-t.crashed:
+	default:
+		close(t.crashed)
+	}
+	t.mu.Unlock()
+	_ = t.server.Close() // the listener and all connections are closed even on an error
+	panic(http.ErrAbortHandler)
+}
+
 // Signature returns the signature of the response to a request.
 func Signature(id string) string { return "signed-" + id }
 
@@ -167,7 +195,7 @@
 		}
 	}
 	from, _ := strconv.ParseInt(r.Header.Get(t.headers.LastEventID), 10, 64) // 0: from the start
-	run := &Run{ID: id, Target: t.ID, Workspace: r.Header.Get(t.headers.Workspace), LastEventID: from, Host: r.Host, URI: r.RequestURI,
+	run := &Run{ID: id, Target: t.ID, StartedAt: time.Now(), Workspace: r.Header.Get(t.headers.Workspace), LastEventID: from, Host: r.Host, URI: r.RequestURI,
 		Header: r.Header.Clone(), Body: body.String()}
 	t.mu.Lock()
 	t.runs = append(t.runs, run)
--- a/tests/site/harness.go
+++ b/tests/site/harness.go
@@ -120,16 +120,25 @@
 	targets := s.targets
 	s.mu.Unlock()
 	for _, reporter := range targets {
-		reporter.stop()
-		reporter.wg.Wait()
-		reporter.target.Close()
+		reporter.close()
 	}
 }
 
+// close stops the heartbeats and the target.
+func (r *targetReporter) close() {
+	r.stop()
+	r.wg.Wait()
+	r.target.Close()
+}
+
 // AddTarget starts sending heartbeats of a stub target. addr is the address that
 // they report, which may be that of a proxy in front of the target. Close stops
 // the target.
 func (s *Site) AddTarget(t *standin.Target, addr, service string, slots int) {
+	s.addTarget(t, addr, service, slots)
+}
+
+func (s *Site) addTarget(t *standin.Target, addr, service string, slots int) *targetReporter {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.mu.Lock()
 	reporter := &targetReporter{target: t, addr: addr, service: service, zone: s.zones[len(s.targets)%len(s.zones)],
@@ -137,6 +146,7 @@
 	s.targets = append(s.targets, reporter)
 	s.mu.Unlock()
 	reporter.wg.Go(func() { s.sendHeartbeats(ctx, reporter, slots) })
+	return reporter
 }
 
 // sendHeartbeats sends each heartbeat to the first control host that accepts it.
--- /dev/null
+++ b/tests/site/restarts.go
@@ -0,0 +1,90 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"banyanwalk/platform"
+	"banyanwalk/services/standin"
+)
+
+// restartDelay is how long a crashed target is down.
+const restartDelay = time.Second
+
+// RestartingTargets are stub targets that start again at their address, under a
+// new id, after a request has ended them.
+type RestartingTargets struct {
+	site      *Site
+	service   string
+	slots     int
+	behaviour func(id string) standin.Behaviour
+	stop      context.CancelFunc
+	wg        conc.WaitGroup
+
+	mu     sync.Mutex
+	all    []*standin.Target // every incarnation
+	errors []error           // of restarts
+}
+
+// AddRestartingTargets starts count targets whose behaviour is chosen by request
+// id. Stop must be called before Close of the site.
+func (s *Site) AddRestartingTargets(count int, service string, slots int, behaviour func(id string) standin.Behaviour) *RestartingTargets {
+	ctx, stop := context.WithCancel(context.Background())
+	r := &RestartingTargets{site: s, service: service, slots: slots, behaviour: behaviour, stop: stop}
+	for i := range count {
+		r.wg.Go(func() { r.run(ctx, i) })
+	}
+	return r
+}
+
+// Stop ends the restarts. The targets that run are stopped by Close of the site.
+func (r *RestartingTargets) Stop() {
+	r.stop()
+	r.wg.Wait()
+}
+
+// run starts one target again and again until ctx ends.
+func (r *RestartingTargets) run(ctx context.Context, number int) {
+	addr := "127.0.0.1:0"
+	for incarnation := 0; ctx.Err() == nil; incarnation++ {
+		target, err := standin.NewTargetAt(fmt.Sprintf("t%d-%d", number, incarnation), addr, platform.HeaderNames(), standin.Behaviour{})
+		if err != nil {
+			r.mu.Lock()
+			r.errors = append(r.errors, err)
+			r.mu.Unlock()
+			return
+		}
+		target.SetBehaviour(r.behaviour)
+		addr = target.Addr
+		r.mu.Lock()
+		r.all = append(r.all, target)
+		r.mu.Unlock()
+		reporter := r.site.addTarget(target, addr, r.service, r.slots)
+		select {
+		case <-ctx.Done():
+			return
+		case <-target.Crashed():
+		}
+		reporter.close()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(restartDelay):
+		}
+	}
+}
+
+// Runs returns the runs at all incarnations, and the errors of restarts.
+func (r *RestartingTargets) Runs() ([]standin.Run, []error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var runs []standin.Run
+	for _, target := range r.all {
+		runs = append(runs, target.Runs()...)
+	}
+	return runs, r.errors
+}
