--- a/core/auth/digest.go
+++ b/core/auth/digest.go
@@ -4,17 +4,17 @@
 	"crypto/sha256"
 	"encoding/binary"
 
-	"banyanwalk/core/fleet"
+	"banyanwalk/core/quarantine"
 )
 
 // RequestDigest returns a digest of the workspace, the path at the target and the
 // body of a request. Quarantine verdicts are stored under it.
-func RequestDigest(workspace, path string, body []byte) fleet.RequestDigest {
+func RequestDigest(workspace, path string, body []byte) quarantine.Digest {
 	h := sha256.New()
 	writeLengthPrefixed(h, []byte(workspace))
 	writeLengthPrefixed(h, []byte(path))
 	writeLengthPrefixed(h, body)
-	var digest fleet.RequestDigest
+	var digest quarantine.Digest
 	copy(digest[:], h.Sum(nil))
 	return digest
 }
--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -1,11 +1,11 @@
 package fleet
 
 import (
-	"encoding/hex"
 	"fmt"
 
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 )
 
 // Command is one entry of the configuration log. Exactly one of the pointers
@@ -57,16 +57,10 @@
 
 // ReportCrash names the requests that were in flight when a target crashed.
 type ReportCrash struct {
-	Target      TargetID     `msgpack:"t"`
-	Incarnation uint64       `msgpack:"i"` // of the crashed target process
-	Requests    []RequestRef `msgpack:"s"`
-	Isolated    bool         `msgpack:"o"` // the only request in flight was a known suspect
-}
-
-// RequestRef names a request by content.
-type RequestRef struct {
-	Workspace string        `msgpack:"w"`
-	Digest    RequestDigest `msgpack:"d"`
+	Target      TargetID         `msgpack:"t"`
+	Incarnation uint64           `msgpack:"i"` // of the crashed target process
+	Requests    []quarantine.Ref `msgpack:"s"`
+	Isolated    bool             `msgpack:"o"` // the only request in flight was a known suspect
 }
 
 // IssueFence issues a fencing token for an order to a target.
@@ -104,6 +98,3 @@
 		return "membership"
 	}
 }
-
-// String returns the digest in hex.
-func (d RequestDigest) String() string { return hex.EncodeToString(d[:]) }
--- a/core/fleet/machine.go
+++ b/core/fleet/machine.go
@@ -6,15 +6,14 @@
 
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 )
 
 // Bounds on the state, so that it does not grow with the age of the fleet.
 const (
 	maxCompletedRequests = 4096 // results kept to answer resends
-	maxTombstones        = 4096 // of removed targets, and as many of cleared verdicts
+	maxTombstones        = 4096 // of removed targets
 	maxHistory           = 256  // history entries of bundles, without their sources
-	maxCrashes           = 1024 // recorded crashes, to ignore repeated reports
-	maxVerdicts          = 8192
 )
 
 // HistoryEntry describes one bundle that was put in force.
@@ -42,7 +41,7 @@
 	agents           map[string]agentRecord
 	removed          []tombstone // oldest first
 	requests         requestTable
-	quarantine       quarantine
+	verdicts         *quarantine.Verdicts
 }
 
 type agentRecord struct {
@@ -64,7 +63,7 @@
 		targets:        make(map[TargetID]Target),
 		agents:         make(map[string]agentRecord),
 		requests:       newRequestTable(),
-		quarantine:     newQuarantine(),
+		verdicts:       quarantine.NewVerdicts(),
 	}
 }
 
@@ -105,18 +104,32 @@
 	case c.Fence != nil:
 		return Result{Revision: m.revision, Fence: index}
 	case c.ExpireVerdicts != nil:
-		return m.recordChange(index, m.quarantine.expire(index, c.AtMS))
+		return m.recordChange(index, m.verdicts.Expire(index, c.AtMS))
 	default:
 		return Result{Error: outcome.New(outcome.BadRequest, outcome.NotRun, "empty command")}
 	}
 }
 
+func (m *Machine) crash(index uint64, r *ReportCrash, atMS int64) Result {
+	expired := m.verdicts.Expire(index, atMS)
+	crash := quarantine.Crash{Target: string(r.Target), Incarnation: r.Incarnation}
+	recorded := m.verdicts.RecordCrash(index, crash, r.Requests, r.Isolated, atMS)
+	return m.recordChange(index, expired || recorded)
+}
+
+// Verdicts returns all verdicts in force, sorted by request.
+func (m *Machine) Verdicts() []quarantine.Verdict { return m.verdicts.All() }
+
+// HasExpiredVerdicts reports whether an ExpireVerdicts command at nowMS would
+// change anything.
+func (m *Machine) HasExpiredVerdicts(nowMS int64) bool { return m.verdicts.HasExpired(nowMS) }
+
 // recordChange advances the revision to index if the command changed anything.
 func (m *Machine) recordChange(index uint64, change bool) Result {
 	if change {
 		m.revision = index
 	}
-	m.minDeltaRevision = max(m.minDeltaRevision, m.quarantine.minDeltaRevision)
+	m.minDeltaRevision = max(m.minDeltaRevision, m.verdicts.MinDeltaRevision())
 	return Result{Revision: m.revision}
 }
 
--- a/core/fleet/machine_test.go
+++ b/core/fleet/machine_test.go
@@ -11,6 +11,7 @@
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 )
 
 // bundleSource returns a valid bundle; each variant has another digest.
@@ -109,7 +110,7 @@
 		require.Equal(t, fullView.Marks(), view.Marks())
 		require.Equal(t, fullView.TargetsFor("m"), view.TargetsFor("m"))
 		for d := range byte(6) {
-			digest := fleet.RequestDigest{d}
+			digest := quarantine.Digest{d}
 			require.Equal(t, fullView.Verdict("w", digest), view.Verdict("w", digest))
 		}
 	})
@@ -145,8 +146,8 @@
 	}
 }
 
-func request(d byte) fleet.RequestRef {
-	return fleet.RequestRef{Workspace: "w", Digest: fleet.RequestDigest{d}}
+func request(d byte) quarantine.Ref {
+	return quarantine.Ref{Workspace: "w", Digest: quarantine.Digest{d}}
 }
 
 func TestQuarantine(t *testing.T) {
@@ -161,22 +162,22 @@
 	cases := []struct {
 		name    string
 		crashes []fleet.Command
-		want    map[byte]fleet.Suspicion
+		want    map[byte]quarantine.Suspicion
 	}{
 		{"first crash makes suspects", []fleet.Command{crash(1, false, bystander, poison)},
-			map[byte]fleet.Suspicion{bystander: fleet.Suspect, poison: fleet.Suspect}},
+			map[byte]quarantine.Suspicion{bystander: quarantine.Suspect, poison: quarantine.Suspect}},
 		{"a repeated report counts once", []fleet.Command{crash(1, false, poison), crash(1, false, poison)},
-			map[byte]fleet.Suspicion{poison: fleet.Suspect}},
+			map[byte]quarantine.Suspicion{poison: quarantine.Suspect}},
 		{"crash in isolation quarantines and clears co-suspects", []fleet.Command{crash(1, false, bystander, poison), crash(2, true, poison)},
-			map[byte]fleet.Suspicion{bystander: fleet.Cleared, poison: fleet.Quarantined}},
+			map[byte]quarantine.Suspicion{bystander: quarantine.Cleared, poison: quarantine.Quarantined}},
 		{"second crash quarantines, new requests are not suspected", []fleet.Command{crash(1, false, bystander, poison), crash(2, false, other, poison)},
-			map[byte]fleet.Suspicion{bystander: fleet.Cleared, poison: fleet.Quarantined, other: fleet.Cleared}},
+			map[byte]quarantine.Suspicion{bystander: quarantine.Cleared, poison: quarantine.Quarantined, other: quarantine.Cleared}},
 		{"two suspects in the same two crashes stay suspects", []fleet.Command{crash(1, false, bystander, poison), crash(2, false, bystander, poison)},
-			map[byte]fleet.Suspicion{bystander: fleet.Suspect, poison: fleet.Suspect}},
+			map[byte]quarantine.Suspicion{bystander: quarantine.Suspect, poison: quarantine.Suspect}},
 		{"the third crash quarantines all suspects", []fleet.Command{crash(1, false, bystander, poison), crash(2, false, bystander, poison), crash(3, false, bystander, poison)},
-			map[byte]fleet.Suspicion{bystander: fleet.Quarantined, poison: fleet.Quarantined}},
+			map[byte]quarantine.Suspicion{bystander: quarantine.Quarantined, poison: quarantine.Quarantined}},
 		{"suspicion expires", []fleet.Command{crash(1, false, poison), {AtMS: time.Hour.Milliseconds(), ExpireVerdicts: &fleet.ExpireVerdicts{}}},
-			map[byte]fleet.Suspicion{poison: fleet.Cleared}},
+			map[byte]quarantine.Suspicion{poison: quarantine.Cleared}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -187,7 +188,7 @@
 				view = apply(t, view, m)
 			}
 			for digest, want := range c.want {
-				require.Equal(t, want, view.Verdict("w", fleet.RequestDigest{digest}), digest)
+				require.Equal(t, want, view.Verdict("w", quarantine.Digest{digest}), digest)
 			}
 		})
 	}
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -4,26 +4,24 @@
 	"slices"
 
 	"banyanwalk/core/bundle"
+	"banyanwalk/core/quarantine"
 )
 
 // State is the encodable snapshot of a Machine. Equal machines have equal
 // snapshots, element by element.
 type State struct {
-	Revision       uint64             `msgpack:"r"`
-	Floor          uint64             `msgpack:"f"`
-	Signed         *bundle.Signed     `msgpack:"b"`
-	BundleRevision uint64             `msgpack:"br"`
-	History        []HistoryEntry     `msgpack:"h"`
-	Marks          Marks              `msgpack:"m"`
-	MarksRevision  uint64             `msgpack:"mr"`
-	Targets        []Target           `msgpack:"t"`
-	Agents         []agentState       `msgpack:"a"`
-	Removed        []tombstone        `msgpack:"x"`
-	Requests       []completedRequest `msgpack:"q"`
-	Verdicts       []verdictRecord    `msgpack:"v"`
-	Crashes        []crashID          `msgpack:"c"`
-	Cleared        []Verdict          `msgpack:"cl"`
-	ClearedFloor   uint64             `msgpack:"cf"`
+	Revision            uint64             `msgpack:"r"`
+	Floor               uint64             `msgpack:"f"`
+	Signed              *bundle.Signed     `msgpack:"b"`
+	BundleRevision      uint64             `msgpack:"br"`
+	History             []HistoryEntry     `msgpack:"h"`
+	Marks               Marks              `msgpack:"m"`
+	MarksRevision       uint64             `msgpack:"mr"`
+	Targets             []Target           `msgpack:"t"`
+	Agents              []agentState       `msgpack:"a"`
+	Removed             []tombstone        `msgpack:"x"`
+	Requests            []completedRequest `msgpack:"q"`
+	quarantine.Snapshot `msgpack:",inline"`
 }
 
 type agentState struct {
@@ -44,16 +42,11 @@
 		Targets:        m.Targets(),
 		Removed:        slices.Clone(m.removed),
 		Requests:       m.requests.list(),
-		Crashes:        slices.Clone(m.quarantine.crashes),
-		Cleared:        slices.Clone(m.quarantine.cleared),
-		ClearedFloor:   m.quarantine.minDeltaRevision,
+		Snapshot:       m.verdicts.Snapshot(),
 	}
 	for _, ref := range m.Agents() {
 		s.Agents = append(s.Agents, agentState{Name: ref.Agent, Record: m.agents[ref.Agent]})
 	}
-	for _, key := range m.quarantine.sortedKeys() {
-		s.Verdicts = append(s.Verdicts, m.quarantine.verdicts[key])
-	}
 	return s
 }
 
@@ -76,13 +69,7 @@
 	for _, a := range s.Requests {
 		m.requests.record(a)
 	}
-	for _, record := range s.Verdicts {
-		key := requestKey{record.Verdict.Workspace, record.Verdict.Digest}
-		m.quarantine.verdicts[key] = record
-	}
-	m.quarantine.crashes = slices.Clone(s.Crashes)
-	m.quarantine.cleared = slices.Clone(s.Cleared)
-	m.quarantine.minDeltaRevision = s.ClearedFloor
+	m.verdicts = quarantine.Restore(s.Snapshot)
 	return m
 }
 
@@ -96,7 +83,7 @@
 	if revision == 0 || revision < m.minDeltaRevision {
 		return m.fullUpdate()
 	}
-	u := Update{Revision: m.revision, Verdicts: m.quarantine.changedSince(revision)}
+	u := Update{Revision: m.revision, Verdicts: m.verdicts.ChangedSince(revision)}
 	if m.bundleRevision > revision {
 		u.Bundle = m.signed
 	}
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -6,6 +6,7 @@
 
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 )
 
 // View is the fleet's state at one revision, indexed for look-ups. It is
@@ -20,13 +21,7 @@
 	targetsOut     map[TargetID]struct{} // marked out
 	targets        map[TargetID]Target
 	inService      map[string][]Target // by model, sorted by ID
-	verdicts       map[requestKey]Verdict
-}
-
-// requestKey is the map key of a verdict.
-type requestKey struct {
-	workspace string
-	digest    RequestDigest
+	verdicts       map[quarantine.Ref]quarantine.Verdict
 }
 
 // emptyIndex is the index of an empty bundle, used before the first update.
@@ -104,13 +99,13 @@
 	if !u.Full && len(u.Verdicts) == 0 {
 		return
 	}
-	verdicts := make(map[requestKey]Verdict, len(v.verdicts)+len(u.Verdicts))
+	verdicts := make(map[quarantine.Ref]quarantine.Verdict, len(v.verdicts)+len(u.Verdicts))
 	if !u.Full {
 		maps.Copy(verdicts, v.verdicts)
 	}
 	for _, verdict := range u.Verdicts {
-		key := requestKey{verdict.Workspace, verdict.Digest}
-		if verdict.Level == Cleared {
+		key := verdict.Ref()
+		if verdict.Level == quarantine.Cleared {
 			delete(verdicts, key)
 			continue
 		}
@@ -187,8 +182,8 @@
 }
 
 // Verdict returns the suspicion level of a request.
-func (v *View) Verdict(workspace string, digest RequestDigest) Suspicion {
-	return v.verdicts[requestKey{workspace, digest}].Level
+func (v *View) Verdict(workspace string, digest quarantine.Digest) quarantine.Suspicion {
+	return v.verdicts[quarantine.Ref{Workspace: workspace, Digest: digest}].Level
 }
 
 func toSet[K comparable](list []K) map[K]struct{} {
@@ -206,9 +201,9 @@
 }
 
 // Verdicts returns all verdicts in force, sorted by request.
-func (v *View) Verdicts() []Verdict {
-	list := make([]Verdict, 0, len(v.verdicts))
-	for _, key := range slices.SortedFunc(maps.Keys(v.verdicts), compareKeys) {
+func (v *View) Verdicts() []quarantine.Verdict {
+	list := make([]quarantine.Verdict, 0, len(v.verdicts))
+	for _, key := range slices.SortedFunc(maps.Keys(v.verdicts), quarantine.CompareRefs) {
 		list = append(list, v.verdicts[key])
 	}
 	return list
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -2,7 +2,10 @@
 // it: the bundle in force, out-of-service marks, targets and quarantine verdicts.
 package fleet
 
-import "banyanwalk/core/bundle"
+import (
+	"banyanwalk/core/bundle"
+	"banyanwalk/core/quarantine"
+)
 
 // TargetID names a target: the agent's host and the target's announced name,
 // joined by a slash. It is unique over the fleet.
@@ -29,38 +32,14 @@
 	TargetsOut     []TargetID `msgpack:"t" json:"targets_out"`      // sorted
 }
 
-// Suspicion is the quarantine level of a request that was in flight when a
-// target crashed.
-type Suspicion uint8
-
-// The suspicion levels. A Suspect request runs with no other request on
-// its target; a Quarantined one is known to crash targets and is refused.
-const (
-	Cleared Suspicion = iota
-	Suspect
-	Quarantined
-)
-
-// RequestDigest identifies a request by workspace, path and body content.
-type RequestDigest [16]byte
-
-// Verdict is the quarantine state of one request.
-type Verdict struct {
-	Workspace string        `msgpack:"w" json:"workspace"`
-	Digest    RequestDigest `msgpack:"d" json:"digest"`
-	Level     Suspicion     `msgpack:"l" json:"level"`
-	Crashes   int           `msgpack:"c" json:"crashes"`
-	Revision  uint64        `msgpack:"r" json:"revision"`
-}
-
 // Update carries the changes since a subscriber's revision. A full update
 // replaces the whole view; in a delta, nil sections are unchanged.
 type Update struct {
-	Revision uint64         `msgpack:"r"`
-	Full     bool           `msgpack:"f"`
-	Bundle   *bundle.Signed `msgpack:"b"`
-	Marks    *Marks         `msgpack:"m"`
-	Targets  []Target       `msgpack:"t"` // added or changed
-	Removed  []TargetID     `msgpack:"x"`
-	Verdicts []Verdict      `msgpack:"v"` // added or changed; Cleared removes one
+	Revision uint64               `msgpack:"r"`
+	Full     bool                 `msgpack:"f"`
+	Bundle   *bundle.Signed       `msgpack:"b"`
+	Marks    *Marks               `msgpack:"m"`
+	Targets  []Target             `msgpack:"t"` // added or changed
+	Removed  []TargetID           `msgpack:"x"`
+	Verdicts []quarantine.Verdict `msgpack:"v"` // added or changed; Cleared removes one
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,14 +1,11 @@
-// Package quarantine finds the requests that may have crashed a target. A
-// tracker follows the in-flight requests of one target. After a crash it reports
-// the suspects, and it treats them as such locally until the verdicts of the
-// control plane have propagated. It reads no clock.
+// Package quarantine finds the requests that crash targets. A Tracker follows the
+// in-flight requests of one target and reports the suspects after a crash.
+// Verdicts is the replicated table that convicts or clears them. It reads no clock.
 package quarantine
 
 import (
 	"slices"
 	"time"
-
-	"banyanwalk/core/fleet"
 )
 
 const (
@@ -25,19 +22,14 @@
 	maxCleared    = 4096
 )
 
-// Ref identifies a request by workspace and content digest.
-type Ref struct {
-	Workspace string
-	Digest    fleet.RequestDigest
-}
-
 // Report lists the suspects of one crash.
 type Report struct {
 	Suspects []Ref // without duplicates: those that ended shortly before the crash, then those in flight
 	Isolated bool  // the only candidate was a known suspect that ran in isolation
 }
 
-// Tracker follows the requests at one target. It is not safe for concurrent
+// Tracker follows the requests at one target. Until the verdicts of the control
+// plane have propagated, it treats the suspects of a crash as such by itself. It is not safe for concurrent
 // use.
 type Tracker struct {
 	inFlight   []trackedRequest // in start order
@@ -55,7 +47,7 @@
 }
 
 type suspicion struct {
-	level fleet.Suspicion
+	level Suspicion
 	at    time.Duration
 }
 
@@ -119,9 +111,9 @@
 	}
 	report.Isolated = len(report.Suspects) == 1 && slices.ContainsFunc(candidates, func(r trackedRequest) bool { return r.isolated })
 	for _, ref := range report.Suspects {
-		level := fleet.Suspect
-		if report.Isolated || t.suspicions[ref].level == fleet.Quarantined {
-			level = fleet.Quarantined
+		level := Suspect
+		if report.Isolated || t.suspicions[ref].level == Quarantined {
+			level = Quarantined
 		}
 		t.suspicions[ref] = suspicion{level: level, at: now}
 		delete(t.cleared, ref)
@@ -132,10 +124,10 @@
 // EffectiveSuspicion combines the fleet's verdict on a request with the
 // tracker's local knowledge of crashes that may not be in the replicated log
 // yet.
-func (t *Tracker) EffectiveSuspicion(now time.Duration, ref Ref, verdict fleet.Suspicion) fleet.Suspicion {
+func (t *Tracker) EffectiveSuspicion(now time.Duration, ref Ref, verdict Suspicion) Suspicion {
 	t.prune(now)
-	if _, cleared := t.cleared[ref]; cleared && verdict < fleet.Quarantined {
-		return fleet.Cleared
+	if _, cleared := t.cleared[ref]; cleared && verdict < Quarantined {
+		return Cleared
 	}
 	return max(verdict, t.suspicions[ref].level)
 }
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -6,11 +6,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-
-	"banyanwalk/core/fleet"
 )
 
-func ref(n byte) Ref { return Ref{Workspace: "w", Digest: fleet.RequestDigest{n}} }
+func ref(n byte) Ref { return Ref{Workspace: "w", Digest: Digest{n}} }
 
 func TestCrashReportsInFlightAndRecentlyFailed(t *testing.T) {
 	tracker := NewTracker()
@@ -42,22 +40,22 @@
 	tracker.Started(2, ref(2), false)
 	_, found := tracker.Crashed(0)
 	require.True(t, found)
-	assert.Equal(t, fleet.Suspect, tracker.EffectiveSuspicion(1, ref(1), fleet.Cleared))
+	assert.Equal(t, Suspect, tracker.EffectiveSuspicion(1, ref(1), Cleared))
 	tracker.Started(3, ref(1), true)
 	report, found := tracker.Crashed(2)
 	require.True(t, found)
 	assert.True(t, report.Isolated)
-	assert.Equal(t, fleet.Quarantined, tracker.EffectiveSuspicion(3, ref(1), fleet.Cleared))
-	assert.Equal(t, fleet.Suspect, tracker.EffectiveSuspicion(3, ref(2), fleet.Cleared))
-	assert.Equal(t, fleet.Quarantined, tracker.EffectiveSuspicion(3, ref(2), fleet.Quarantined))
+	assert.Equal(t, Quarantined, tracker.EffectiveSuspicion(3, ref(1), Cleared))
+	assert.Equal(t, Suspect, tracker.EffectiveSuspicion(3, ref(2), Cleared))
+	assert.Equal(t, Quarantined, tracker.EffectiveSuspicion(3, ref(2), Quarantined))
 }
 
 func TestLocalSuspicionExpires(t *testing.T) {
 	tracker := NewTracker()
 	tracker.Started(1, ref(1), false)
 	tracker.Crashed(0)
-	assert.Equal(t, fleet.Cleared, tracker.EffectiveSuspicion(suspicionWindow+suspectWindow, ref(1), fleet.Cleared))
-	assert.Equal(t, fleet.Suspect, tracker.EffectiveSuspicion(suspicionWindow+suspectWindow, ref(1), fleet.Suspect))
+	assert.Equal(t, Cleared, tracker.EffectiveSuspicion(suspicionWindow+suspectWindow, ref(1), Cleared))
+	assert.Equal(t, Suspect, tracker.EffectiveSuspicion(suspicionWindow+suspectWindow, ref(1), Suspect))
 }
 
 func TestFirstCrashOfLoneRequestOnlySuspects(t *testing.T) {
@@ -66,28 +64,28 @@
 	report, found := tracker.Crashed(0)
 	require.True(t, found)
 	assert.False(t, report.Isolated)
-	assert.Equal(t, fleet.Suspect, tracker.EffectiveSuspicion(0, ref(1), fleet.Cleared))
+	assert.Equal(t, Suspect, tracker.EffectiveSuspicion(0, ref(1), Cleared))
 }
 
 func TestSuspectThatCompletesInIsolationIsCleared(t *testing.T) {
 	tracker := NewTracker()
 	tracker.Started(1, ref(1), true)
 	tracker.Ended(0, 1, true)
-	assert.Equal(t, fleet.Cleared, tracker.EffectiveSuspicion(0, ref(1), fleet.Suspect))
-	assert.Equal(t, fleet.Quarantined, tracker.EffectiveSuspicion(0, ref(1), fleet.Quarantined))
-	assert.Equal(t, fleet.Suspect, tracker.EffectiveSuspicion(clearedWindow+suspectWindow, ref(1), fleet.Suspect))
+	assert.Equal(t, Cleared, tracker.EffectiveSuspicion(0, ref(1), Suspect))
+	assert.Equal(t, Quarantined, tracker.EffectiveSuspicion(0, ref(1), Quarantined))
+	assert.Equal(t, Suspect, tracker.EffectiveSuspicion(clearedWindow+suspectWindow, ref(1), Suspect))
 
 	tracker.Started(2, ref(2), true)
 	tracker.Ended(0, 2, true)
 	tracker.Started(3, ref(2), false)
 	tracker.Crashed(1)
-	assert.Equal(t, fleet.Suspect, tracker.EffectiveSuspicion(1, ref(2), fleet.Cleared), "a later crash makes a cleared request a suspect again")
+	assert.Equal(t, Suspect, tracker.EffectiveSuspicion(1, ref(2), Cleared), "a later crash makes a cleared request a suspect again")
 
 	tracker.Started(5, ref(4), true)
 	tracker.NotSent(5)
-	assert.Equal(t, fleet.Suspect, tracker.EffectiveSuspicion(1, ref(4), fleet.Suspect), "a request that was not sent is not cleared")
+	assert.Equal(t, Suspect, tracker.EffectiveSuspicion(1, ref(4), Suspect), "a request that was not sent is not cleared")
 
 	tracker.Started(4, ref(3), false)
 	tracker.Ended(1, 4, true)
-	assert.Equal(t, fleet.Suspect, tracker.EffectiveSuspicion(1, ref(3), fleet.Suspect), "a request that did not run in isolation is not cleared")
+	assert.Equal(t, Suspect, tracker.EffectiveSuspicion(1, ref(3), Suspect), "a request that did not run in isolation is not cleared")
 }
--- a/infra/rpc/rpc.go
+++ b/infra/rpc/rpc.go
@@ -6,6 +6,7 @@
 
 import (
 	"banyanwalk/core/fleet"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
 	"banyanwalk/infra/wire"
 )
@@ -82,7 +83,7 @@
 	Class      Class               `msgpack:"c"`
 	Idempotent bool                `msgpack:"p"`
 	Suspect    bool                `msgpack:"s"` // may have crashed a target: run it alone on the target
-	Digest     fleet.RequestDigest `msgpack:"d"`
+	Digest     quarantine.Digest `msgpack:"d"`
 	HTTPMethod string              `msgpack:"h"`
 	Path       string              `msgpack:"u"` // path and query to send to the target
 	Headers    []Header            `msgpack:"e"`
@@ -156,7 +157,7 @@
 // SuspectRef identifies one request in a crash report.
 type SuspectRef struct {
 	Workspace string              `msgpack:"w"`
-	Digest    fleet.RequestDigest `msgpack:"d"`
+	Digest    quarantine.Digest `msgpack:"d"`
 }
 
 // OrderKind is the kind of an order to a target.
--- a/services/agent/execution.go
+++ b/services/agent/execution.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"banyanwalk/core/admission"
-	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/quarantine"
 	"banyanwalk/infra/rpc"
@@ -38,15 +37,15 @@
 func (x *execution) checkQuarantine() error {
 	verdict := x.agent.cfg.Control.View().Verdict(x.open.Workspace, x.open.Digest)
 	if x.open.Suspect {
-		verdict = max(verdict, fleet.Suspect)
+		verdict = max(verdict, quarantine.Suspect)
 	}
 	x.target.mu.Lock()
 	level := x.target.tracker.EffectiveSuspicion(x.agent.now(), x.ref, verdict)
 	x.target.mu.Unlock()
-	if level == fleet.Quarantined {
+	if level == quarantine.Quarantined {
 		return outcome.New(outcome.Quarantined, outcome.NotRun, "the request has crashed targets")
 	}
-	x.isolated = level == fleet.Suspect
+	x.isolated = level == quarantine.Suspect
 	return nil
 }
 
--- a/services/agent/harness_test.go
+++ b/services/agent/harness_test.go
@@ -18,6 +18,7 @@
 
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
@@ -57,13 +58,13 @@
 		c.mu.Lock()
 		c.reports = append(c.reports, *r)
 		c.mu.Unlock()
-		level := fleet.Suspect
+		level := quarantine.Suspect
 		if r.Isolated {
-			level = fleet.Quarantined
+			level = quarantine.Quarantined
 		}
 		c.update(func(u *fleet.Update) {
 			for _, s := range r.Suspects {
-				u.Verdicts = append(u.Verdicts, fleet.Verdict{Workspace: s.Workspace, Digest: s.Digest, Level: level, Revision: u.Revision})
+				u.Verdicts = append(u.Verdicts, quarantine.Verdict{Workspace: s.Workspace, Digest: s.Digest, Level: level, Revision: u.Revision})
 			}
 		})
 	default:
--- a/services/control/membership.go
+++ b/services/control/membership.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"banyanwalk/core/fleet"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/lease"
 	"banyanwalk/core/outcome"
 	"banyanwalk/infra/rpc"
@@ -218,7 +219,7 @@
 	}
 	crash := &fleet.ReportCrash{Target: report.Target, Incarnation: report.Incarnation, Isolated: report.Isolated}
 	for _, ref := range report.Suspects {
-		crash.Requests = append(crash.Requests, fleet.RequestRef{Workspace: ref.Workspace, Digest: ref.Digest})
+		crash.Requests = append(crash.Requests, quarantine.Ref{Workspace: ref.Workspace, Digest: ref.Digest})
 	}
 	result, err := s.propose(ctx, fleet.Command{Client: report.Agent, Crash: crash})
 	if err != nil {
--- a/services/control/replication_test.go
+++ b/services/control/replication_test.go
@@ -10,6 +10,7 @@
 
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/wire"
@@ -210,8 +211,8 @@
 	require.Equal(t, fleet.TargetID("kept/m"), sub.view.TargetsFor("m")[0].ID)
 
 	_, err := callUntilAnswered[rpc.Ack](t, f.addrs[1], rpc.MethodReportCrash, &rpc.CrashReport{Agent: "kept", Target: "kept/m",
-		Incarnation: 1, Suspects: []rpc.SuspectRef{{Workspace: "w", Digest: fleet.RequestDigest{1}}}})
+		Incarnation: 1, Suspects: []rpc.SuspectRef{{Workspace: "w", Digest: quarantine.Digest{1}}}})
 	require.NoError(t, err)
 	require.NoError(t, sub.confirm(1000))
-	require.Equal(t, fleet.Suspect, sub.view.Verdict("w", fleet.RequestDigest{1}))
+	require.Equal(t, quarantine.Suspect, sub.view.Verdict("w", quarantine.Digest{1}))
 }
--- a/services/control/status.go
+++ b/services/control/status.go
@@ -10,6 +10,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"banyanwalk/core/fleet"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/raft"
 	"banyanwalk/infra/rpc"
@@ -154,7 +155,7 @@
 		status.Targets = append(status.Targets, TargetStatus{Target: t, InService: view.InService(t.ID)})
 	}
 	for _, v := range view.Verdicts() {
-		status.Verdicts = append(status.Verdicts, VerdictStatus{Workspace: v.Workspace, Digest: v.Digest.String(), Quarantined: v.Level == fleet.Quarantined, Crashes: v.Crashes})
+		status.Verdicts = append(status.Verdicts, VerdictStatus{Workspace: v.Workspace, Digest: v.Digest.String(), Quarantined: v.Level == quarantine.Quarantined, Crashes: v.Crashes})
 	}
 	return status
 }
--- a/services/gateway/dispatch.go
+++ b/services/gateway/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"banyanwalk/core/fleet"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/retry"
 	"banyanwalk/infra/rpc"
@@ -116,9 +117,9 @@
 func (d *dispatch) tryOnce(ctx context.Context) (*response, *outcome.Error) {
 	s, r := d.server, d.request
 	switch s.cfg.State.View().Verdict(r.workspace, r.digest) {
-	case fleet.Quarantined:
+	case quarantine.Quarantined:
 		return nil, outcome.New(outcome.Quarantined, outcome.NotRun, "this request has crashed targets")
-	case fleet.Suspect:
+	case quarantine.Suspect:
 		d.suspect = true
 	}
 	d.slotRequest.isolated = d.suspect
--- a/services/gateway/dispatch_test.go
+++ b/services/gateway/dispatch_test.go
@@ -12,6 +12,7 @@
 
 	"banyanwalk/core/auth"
 	"banyanwalk/core/fleet"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/wire"
@@ -247,8 +248,8 @@
 	require.Eventually(t, func() bool { return a.received.Load() == 1 }, testTimeout, pollInterval)
 	const suspectBody = `{"model":"m1","messages":[]}`
 	digest := auth.RequestDigest("alpha", chatPath, []byte(suspectBody))
-	verdict := fleet.Verdict{Workspace: "alpha", Digest: digest, Level: fleet.Suspect}
-	state.apply(t, fleet.Update{Revision: 2, Verdicts: []fleet.Verdict{verdict}})
+	verdict := quarantine.Verdict{Workspace: "alpha", Digest: digest, Level: quarantine.Suspect}
+	state.apply(t, fleet.Update{Revision: 2, Verdicts: []quarantine.Verdict{verdict}})
 	require.Equal(t, suspectBody, g.do(t, "POST", chatPath, keyA, suspectBody).body)
 	releaseAgent()
 	for range 3 {
--- a/services/gateway/request.go
+++ b/services/gateway/request.go
@@ -13,6 +13,7 @@
 	"banyanwalk/core/auth"
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
 	"banyanwalk/infra/rpc"
 )
@@ -36,7 +37,7 @@
 	path           string // at the target, including the query
 	headers        []rpc.Header
 	body           []byte
-	digest         fleet.RequestDigest
+	digest         quarantine.Digest
 	idempotent     bool
 	idempotencyKey string // Idempotency-Key header; empty: none
 	resumable      bool   // streamed generation that can continue after tokens already sent
--- a/services/gateway/server_test.go
+++ b/services/gateway/server_test.go
@@ -10,6 +10,7 @@
 
 	"banyanwalk/core/auth"
 	"banyanwalk/core/fleet"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
 	"banyanwalk/infra/httpapi"
 	"banyanwalk/infra/rpc"
@@ -164,12 +165,12 @@
 	state := newFakeState(t, target("e1", "m1", a))
 	g := startGateway(t, Config{State: state})
 	require.Equal(t, http.StatusOK, g.chat(t).status)
-	verdict := fleet.Verdict{Workspace: "alpha", Digest: a.lastRequest(t).Digest, Level: fleet.Suspect}
-	state.apply(t, fleet.Update{Revision: 2, Verdicts: []fleet.Verdict{verdict}})
+	verdict := quarantine.Verdict{Workspace: "alpha", Digest: a.lastRequest(t).Digest, Level: quarantine.Suspect}
+	state.apply(t, fleet.Update{Revision: 2, Verdicts: []quarantine.Verdict{verdict}})
 	require.Equal(t, http.StatusOK, g.chat(t).status)
 	require.True(t, a.lastRequest(t).Suspect)
-	verdict.Level = fleet.Quarantined
-	state.apply(t, fleet.Update{Revision: 3, Verdicts: []fleet.Verdict{verdict}})
+	verdict.Level = quarantine.Quarantined
+	state.apply(t, fleet.Update{Revision: 3, Verdicts: []quarantine.Verdict{verdict}})
 	requireCode(t, g.chat(t), outcome.Quarantined, outcome.NotRun)
 	require.EqualValues(t, 2, a.received.Load())
 }
