core/quarantine: verdicts from gateways that each see part of a target's requests

Cause: at a site no process sees all requests of a target, so RecordCrash (agents) does not fit: the first report of a crash would hide the others, and a sole known suspect would be convicted by a burst. An hour after the last crash one more chance. Eviction takes the fewest crashes of the largest workspace first. Tests: go test ./core/quarantine, passed.

--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -47,6 +47,14 @@
 // Ref returns the request that the verdict is about.
 func (v *Verdict) Ref() Ref { return Ref{Workspace: v.Workspace, Digest: v.Digest} }
 
+// Update carries verdicts to subscribers. A full update replaces all verdicts up to
+// its revision; in a delta, a Cleared verdict removes one.
+type Update struct {
+	Revision uint64    `msgpack:"r"` // log index of the sender's last change
+	Full     bool      `msgpack:"f,omitempty"`
+	Verdicts []Verdict `msgpack:"v"`
+}
+
 // Crash identifies a crash: a target process crashes at most once.
 type Crash struct {
 	Target      string `msgpack:"t"`
--- a/core/quarantine/verdicts.go
+++ b/core/quarantine/verdicts.go
@@ -13,6 +13,9 @@
 	suspectTTL        = 10 * time.Minute
 	quarantineTTL     = 24 * time.Hour
 	maxSuspectCrashes = 3
+	// probationAfter is the time after its last crash at which a quarantined
+	// request becomes a suspect again, which one more crash quarantines.
+	probationAfter = time.Hour
 )
 
 // Bounds on the state, so that it does not grow with the age of the fleet.
@@ -25,8 +28,10 @@
 // Record is a verdict with the data that later decisions need.
 type Record struct {
 	Verdict     Verdict `msgpack:"v"`
-	CrashIndex  uint64  `msgpack:"c"` // log index of the crash that made the request a suspect
-	LastCrashMS int64   `msgpack:"a"` // time of the last crash
+	CrashIndex  uint64  `msgpack:"c"`           // log index of the crash that made the request a suspect
+	LastCrashMS int64   `msgpack:"a"`           // time of the last crash
+	Convicted   bool    `msgpack:"q,omitempty"` // is or was quarantined
+	Crashes     []Crash `msgpack:"n,omitempty"` // the newest crashes at which it ran, of RecordRuns only
 }
 
 // Verdicts is the replicated table of verdicts. It infers from crash reports
@@ -34,9 +39,11 @@
 // use.
 type Verdicts struct {
 	records          map[Ref]Record
-	crashes          []Crash   // already recorded, oldest first
-	cleared          []Verdict // tombstones of cleared verdicts, oldest first
-	minDeltaRevision uint64    // highest revision of a dropped tombstone; deltas from below it are incomplete
+	crashes          []Crash    // already recorded, oldest first
+	runCrashes       []runCrash // crashes of RecordRuns, oldest first
+	revision         uint64     // log index of the last change
+	cleared          []Verdict  // tombstones of cleared verdicts, oldest first
+	minDeltaRevision uint64     // highest revision of a dropped tombstone; deltas from below it are incomplete
 }
 
 // NewVerdicts returns an empty table.
@@ -110,34 +117,81 @@
 	}
 }
 
-// Expire clears verdicts past their time to live and reports whether there
-// were any.
+// Expire clears verdicts past their time to live, puts quarantined requests on
+// probation and reports whether there were any.
 func (q *Verdicts) Expire(index uint64, nowMS int64) bool {
 	change := false
 	for _, key := range q.sortedRefs() {
 		record := q.records[key]
-		ttl := suspectTTL
-		if record.Verdict.Level == Quarantined {
-			ttl = quarantineTTL
-		}
-		if nowMS-record.LastCrashMS > ttl.Milliseconds() {
+		switch {
+		case record.expired(nowMS):
 			q.clear(index, key)
-			change = true
+		case record.probationDue(nowMS):
+			q.startProbation(index, key)
+		default:
+			continue
 		}
+		change = true
 	}
 	return change
 }
 
-// evict clears the oldest verdicts beyond maxVerdicts.
-func (q *Verdicts) evict(index uint64) {
-	if len(q.records) <= maxVerdicts {
-		return
+// HasExpired reports whether Expire at nowMS would change anything.
+func (q *Verdicts) HasExpired(nowMS int64) bool {
+	for _, record := range q.records {
+		if record.expired(nowMS) || record.probationDue(nowMS) {
+			return true
+		}
 	}
-	keys := q.sortedRefs()
-	slices.SortStableFunc(keys, func(a, b Ref) int { return cmp.Compare(q.records[a].LastCrashMS, q.records[b].LastCrashMS) })
-	for _, key := range keys[:len(keys)-maxVerdicts] {
-		q.clear(index, key)
+	return false
+}
+
+func (r *Record) expired(nowMS int64) bool {
+	ttl := suspectTTL
+	if r.Convicted || r.Verdict.Level == Quarantined {
+		ttl = quarantineTTL
 	}
+	return nowMS-r.LastCrashMS > ttl.Milliseconds()
+}
+
+func (r *Record) probationDue(nowMS int64) bool {
+	return r.Verdict.Level == Quarantined && nowMS-r.LastCrashMS > probationAfter.Milliseconds()
+}
+
+func (q *Verdicts) startProbation(index uint64, key Ref) {
+	record := q.records[key]
+	record.Verdict.Level = Suspect
+	record.Verdict.Crashes = maxSuspectCrashes - 1
+	record.Verdict.Revision = index
+	record.Convicted = true
+	q.records[key] = record
+	q.revision = index
+}
+
+// evict clears verdicts beyond maxVerdicts, those of the workspace that has most
+// of them. Suspects with the fewest crashes go first, the oldest of them before
+// the others.
+func (q *Verdicts) evict(index uint64) {
+	for len(q.records) > maxVerdicts {
+		counts := make(map[string]int)
+		most := ""
+		for _, key := range q.sortedRefs() {
+			if counts[key.Workspace]++; counts[key.Workspace] > counts[most] {
+				most = key.Workspace
+			}
+		}
+		q.clear(index, q.leastImportant(most))
+	}
+}
+
+// leastImportant returns the verdict of a workspace that is evicted first.
+func (q *Verdicts) leastImportant(workspace string) Ref {
+	keys := slices.DeleteFunc(q.sortedRefs(), func(key Ref) bool { return key.Workspace != workspace })
+	return slices.MinFunc(keys, func(a, b Ref) int {
+		recordA, recordB := q.records[a], q.records[b]
+		return cmp.Or(cmp.Compare(recordA.Verdict.Level, recordB.Verdict.Level),
+			cmp.Compare(recordA.Verdict.Crashes, recordB.Verdict.Crashes), cmp.Compare(recordA.LastCrashMS, recordB.LastCrashMS))
+	})
 }
 
 func (q *Verdicts) set(index uint64, key Ref, level Suspicion, crashes int, crashIndex uint64, atMS int64) {
@@ -145,12 +199,16 @@
 		Verdict:     Verdict{Workspace: key.Workspace, Digest: key.Digest, Level: level, Crashes: crashes, Revision: index},
 		CrashIndex:  crashIndex,
 		LastCrashMS: atMS,
+		Convicted:   level == Quarantined || q.records[key].Convicted,
+		Crashes:     q.records[key].Crashes,
 	}
+	q.revision = index
 }
 
 // clear removes a verdict and keeps a tombstone for subscribers.
 func (q *Verdicts) clear(index uint64, key Ref) {
 	delete(q.records, key)
+	q.revision = index
 	q.cleared = append(q.cleared, Verdict{Workspace: key.Workspace, Digest: key.Digest, Revision: index})
 	if excess := len(q.cleared) - maxTombstones; excess > 0 {
 		q.minDeltaRevision = max(q.minDeltaRevision, q.cleared[excess-1].Revision)
@@ -189,35 +247,44 @@
 	return list
 }
 
-// HasExpired reports whether Expire at nowMS would change anything.
-func (q *Verdicts) HasExpired(nowMS int64) bool {
-	for _, record := range q.records {
-		ttl := suspectTTL
-		if record.Verdict.Level == Quarantined {
-			ttl = quarantineTTL
-		}
-		if nowMS-record.LastCrashMS > ttl.Milliseconds() {
-			return true
-		}
+// Lookup returns the record of a request.
+func (q *Verdicts) Lookup(ref Ref) (Record, bool) {
+	record, found := q.records[ref]
+	return record, found
+}
+
+// Len returns the number of verdicts in force.
+func (q *Verdicts) Len() int { return len(q.records) }
+
+// UpdateSince returns the changes after a revision, or all verdicts if a delta
+// could miss one that was cleared.
+func (q *Verdicts) UpdateSince(revision uint64) Update {
+	if revision == 0 || revision < q.minDeltaRevision {
+		return Update{Revision: q.revision, Full: true, Verdicts: q.All()}
 	}
-	return false
+	return Update{Revision: q.revision, Verdicts: q.ChangedSince(revision)}
 }
 
+// Revision returns the log index of the last change.
+func (q *Verdicts) Revision() uint64 { return q.revision }
+
 // MinDeltaRevision returns the revision below which ChangedSince may miss cleared
 // verdicts.
 func (q *Verdicts) MinDeltaRevision() uint64 { return q.minDeltaRevision }
 
 // Snapshot is the complete state of a table.
 type Snapshot struct {
-	Records          []Record  `msgpack:"v"`
-	Crashes          []Crash   `msgpack:"c"`
-	Cleared          []Verdict `msgpack:"cl"`
-	MinDeltaRevision uint64    `msgpack:"cf"`
+	Records          []Record   `msgpack:"v"`
+	Crashes          []Crash    `msgpack:"c"`
+	Cleared          []Verdict  `msgpack:"cl"`
+	MinDeltaRevision uint64     `msgpack:"cf"`
+	RunCrashes       []runCrash `msgpack:"rc,omitempty"`
 }
 
 // Snapshot returns the complete state.
 func (q *Verdicts) Snapshot() Snapshot {
-	s := Snapshot{Crashes: slices.Clone(q.crashes), Cleared: slices.Clone(q.cleared), MinDeltaRevision: q.minDeltaRevision}
+	s := Snapshot{Crashes: slices.Clone(q.crashes), Cleared: slices.Clone(q.cleared), MinDeltaRevision: q.minDeltaRevision,
+		RunCrashes: slices.Clone(q.runCrashes)}
 	for _, ref := range q.sortedRefs() {
 		s.Records = append(s.Records, q.records[ref])
 	}
@@ -229,7 +296,12 @@
 	q := NewVerdicts()
 	for _, record := range s.Records {
 		q.records[record.Verdict.Ref()] = record
+		q.revision = max(q.revision, record.Verdict.Revision)
+	}
+	for _, verdict := range s.Cleared {
+		q.revision = max(q.revision, verdict.Revision)
 	}
+	q.runCrashes = slices.Clone(s.RunCrashes)
 	q.crashes = slices.Clone(s.Crashes)
 	q.cleared = slices.Clone(s.Cleared)
 	q.minDeltaRevision = s.MinDeltaRevision
