BUDGET: gateways share what they know of requests that crash targets

Class: a safeguard of the first product (core/quarantine, agents) that the second way in, the site's gateways, never had. Change: a gateway tells the crash of a target from a lost connection (the target refuses connections, or another incarnation reports in its place, and it had announced no shutdown), counts it for the content (workspace, host, path, body) at once and reports it to a control host; the control group logs it, so it outlives leaders and restarts; control hosts push verdicts to all followers. Each attempt, also a retry or resumption within one, asks first. A quarantined content is answered at once: code 306, 503 if this attempt has not run, else 502. A complete response clears. Log lines target_crashed, suspect_checked, suspect_completed, target_crash_reported, verdicts_taken name digest, crashes, source and age. Digests are computed only while something is suspected.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -1,6 +1,7 @@
 // Package catalog is the replicated state machine of a site's control group. It
 // holds the routing document in force, the data centres that are out of
-// service, and the hosts that store jobs. It is deterministic and does no I/O.
+// service, the hosts that store jobs and the verdicts on requests that crash
+// targets. It is deterministic and does no I/O.
 package catalog
 
 import (
@@ -8,6 +9,7 @@
 	"slices"
 
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 )
 
 // Command is one entry of the control group's log. Exactly one field is set.
@@ -16,6 +18,8 @@
 	DataCentre *SetDataCentre    `msgpack:"z,omitempty"`
 	Bootstrap  *BootstrapStorage `msgpack:"f,omitempty"`
 	Retire     *RetireHost       `msgpack:"r,omitempty"`
+	Runs       *ReportRuns       `msgpack:"q,omitempty"`
+	Expire     *ExpireVerdicts   `msgpack:"e,omitempty"`
 }
 
 // PutDocument puts a routing document in force if its version is higher than
@@ -45,6 +49,24 @@
 	Done bool   `msgpack:"d"`
 }
 
+// ReportRuns reports how requests ended that may crash targets.
+type ReportRuns struct {
+	AtMS      int64            `msgpack:"a"`           // wall clock of the proposer, milliseconds since 1970
+	Crashes   []CrashReport    `msgpack:"c,omitempty"` // runs that ended with a crash
+	Completed []quarantine.Ref `msgpack:"d,omitempty"` // suspects that ran to a complete response
+}
+
+// CrashReport names the runs that ended with one crash.
+type CrashReport struct {
+	Crash quarantine.Crash `msgpack:"c"`
+	Runs  []quarantine.Run `msgpack:"r"`
+}
+
+// ExpireVerdicts applies the times to live of verdicts.
+type ExpireVerdicts struct {
+	AtMS int64 `msgpack:"a"` // wall clock of the proposer, milliseconds since 1970
+}
+
 // Retirement is the state of a storage host that is being decommissioned: its
 // data moves to other hosts.
 type Retirement struct {
@@ -78,28 +100,55 @@
 
 // Result is the result of a command.
 type Result struct {
-	Changed bool
-	Error   *outcome.Error // set if the command was rejected
+	Changed         bool           // the State has changed
+	VerdictsChanged bool           // the verdicts have changed
+	Error           *outcome.Error // set if the command was rejected
 }
 
 // Machine applies commands in log order. It is not safe for concurrent use.
 // Each change replaces the state (copy on write), so readers may keep a state
 // that State returned.
+//
+// The verdicts are not part of State, which followers get as a whole.
 type Machine struct {
-	state *State
+	state    *State
+	verdicts *quarantine.Verdicts
 }
 
 // New returns a machine with an empty state.
-func New() *Machine { return &Machine{state: &State{}} }
+func New() *Machine { return &Machine{state: &State{}, verdicts: quarantine.NewVerdicts()} }
+
+// Snapshot is the complete state of a machine. Snapshots of earlier builds have no
+// verdicts.
+type Snapshot struct {
+	State    `msgpack:",inline"`
+	Verdicts quarantine.Snapshot `msgpack:"q"`
+}
+
+// Snapshot returns the complete state.
+func (m *Machine) Snapshot() Snapshot {
+	return Snapshot{State: *m.state, Verdicts: m.verdicts.Snapshot()}
+}
+
+// Restore returns a machine with the state of a snapshot.
+func Restore(s Snapshot) *Machine {
+	return &Machine{state: &s.State, verdicts: quarantine.Restore(s.Verdicts)}
+}
 
-// Restore returns a machine with the given state.
-func Restore(s State) *Machine { return &Machine{state: &s} }
+// Verdicts returns the verdicts on requests that may crash targets.
+func (m *Machine) Verdicts() *quarantine.Verdicts { return m.verdicts }
 
 // State returns the current state. The caller must not modify it.
 func (m *Machine) State() *State { return m.state }
 
 // Apply executes the command at the given log index.
 func (m *Machine) Apply(index uint64, c Command) Result {
+	switch {
+	case c.Runs != nil:
+		return Result{VerdictsChanged: m.recordRuns(index, c.Runs)}
+	case c.Expire != nil:
+		return Result{VerdictsChanged: m.verdicts.Expire(index, c.Expire.AtMS)}
+	}
 	next := *m.state
 	result := next.execute(c)
 	if result.Changed {
@@ -109,6 +158,16 @@
 	return result
 }
 
+func (m *Machine) recordRuns(index uint64, r *ReportRuns) bool {
+	change := m.verdicts.Complete(index, r.Completed)
+	for _, report := range r.Crashes {
+		if m.verdicts.RecordRuns(index, report.Crash, report.Runs, r.AtMS) {
+			change = true
+		}
+	}
+	return change
+}
+
 func (s *State) execute(c Command) Result {
 	switch {
 	case c.Put != nil:
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -5,9 +5,11 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 )
 
 func put(version uint64, body string) Command {
@@ -87,3 +89,27 @@
 		}
 	})
 }
+
+// Snapshots of earlier builds, which hold only the state, can be restored; those of
+// this build keep the verdicts. Verdicts don't change the revision of the state.
+func TestSnapshotHoldsVerdicts(t *testing.T) {
+	m := New()
+	m.Apply(1, put(5, "five"))
+	earlier, err := msgpack.Marshal(m.State())
+	require.NoError(t, err)
+	runs := []quarantine.Run{{Ref: quarantine.Ref{Workspace: "w"}}}
+	report := &ReportRuns{Crashes: []CrashReport{{Crash: quarantine.Crash{Target: "t"}, Runs: runs}}}
+	assert.Equal(t, Result{VerdictsChanged: true}, m.Apply(2, Command{Runs: report}))
+	assert.Equal(t, Result{}, m.Apply(3, Command{Runs: report}), "a repeated report changes nothing")
+	assert.Equal(t, uint64(1), m.State().Revision)
+	current, err := msgpack.Marshal(m.Snapshot())
+	require.NoError(t, err)
+	for _, encoded := range [][]byte{earlier, current} {
+		var snapshot Snapshot
+		require.NoError(t, msgpack.Unmarshal(encoded, &snapshot))
+		assert.Equal(t, "five", string(Restore(snapshot).State().Body))
+	}
+	var snapshot Snapshot
+	require.NoError(t, msgpack.Unmarshal(current, &snapshot))
+	assert.Equal(t, m.Verdicts().All(), Restore(snapshot).Verdicts().All())
+}
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -18,6 +18,18 @@
 	Quarantined
 )
 
+// String returns the name of the level as used in logs.
+func (s Suspicion) String() string {
+	switch s {
+	case Suspect:
+		return "suspect"
+	case Quarantined:
+		return "quarantined"
+	default:
+		return "cleared"
+	}
+}
+
 // Digest identifies a request by workspace, path and body content.
 type Digest [16]byte
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -158,6 +158,10 @@
 // Get returns the record of a target, or nil. It must not be changed.
 func (r *Roster) Get(id string) *Record { return r.byID[id] }
 
+// Holder returns the record of the target at an address, or nil. It must not be
+// changed.
+func (r *Roster) Holder(addr string) *Record { return r.byAddr[addr] }
+
 // Expire removes and returns the targets whose last report arrived before oldest.
 func (r *Roster) Expire(oldest time.Time) []*Record {
 	var expired []*Record
--- a/infra/rpc/rpc.go
+++ b/infra/rpc/rpc.go
@@ -6,8 +6,8 @@
 
 import (
 	"banyanwalk/core/fleet"
-	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/infra/wire"
 )
 
@@ -77,19 +77,19 @@
 // ExecuteOpen requests that an agent run one request on its target. It carries no API
 // key and no caller identity except the workspace.
 type ExecuteOpen struct {
-	ID         AttemptID           `msgpack:"i"`
-	Workspace  string              `msgpack:"w"`
-	Model      string              `msgpack:"m"`
-	Class      Class               `msgpack:"c"`
-	Idempotent bool                `msgpack:"p"`
-	Suspect    bool                `msgpack:"s"` // may have crashed a target: run it alone on the target
+	ID         AttemptID         `msgpack:"i"`
+	Workspace  string            `msgpack:"w"`
+	Model      string            `msgpack:"m"`
+	Class      Class             `msgpack:"c"`
+	Idempotent bool              `msgpack:"p"`
+	Suspect    bool              `msgpack:"s"` // may have crashed a target: run it alone on the target
 	Digest     quarantine.Digest `msgpack:"d"`
-	HTTPMethod string              `msgpack:"h"`
-	Path       string              `msgpack:"u"` // path and query to send to the target
-	Headers    []Header            `msgpack:"e"`
-	Body       []byte              `msgpack:"b"`
-	TimeoutMS  int64               `msgpack:"o"` // time left until the caller's deadline, milliseconds
-	Revision   uint64              `msgpack:"v"` // state revision at which the gateway admitted the request
+	HTTPMethod string            `msgpack:"h"`
+	Path       string            `msgpack:"u"` // path and query to send to the target
+	Headers    []Header          `msgpack:"e"`
+	Body       []byte            `msgpack:"b"`
+	TimeoutMS  int64             `msgpack:"o"` // time left until the caller's deadline, milliseconds
+	Revision   uint64            `msgpack:"v"` // state revision at which the gateway admitted the request
 }
 
 // EventKind is the kind of an ExecuteEvent.
@@ -156,7 +156,7 @@
 
 // SuspectRef identifies one request in a crash report.
 type SuspectRef struct {
-	Workspace string              `msgpack:"w"`
+	Workspace string            `msgpack:"w"`
 	Digest    quarantine.Digest `msgpack:"d"`
 }
 
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -1,8 +1,10 @@
 package rpc
 
 import (
+	"banyanwalk/core/catalog"
 	"banyanwalk/core/jobs"
 	"banyanwalk/core/placement"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/roster"
 	"banyanwalk/infra/wire"
 )
@@ -10,8 +12,9 @@
 // Methods of a site, in which hosts discover each other from seed addresses and
 // targets announce themselves.
 const (
-	MethodFollow  wire.Method = 100 // stream: FollowPing -> FollowPush
-	MethodPropose wire.Method = 101 // unary: Proposal -> ProposalResponse, served by the leader of a group
+	MethodFollow     wire.Method = 100 // stream: FollowPing -> FollowPush
+	MethodPropose    wire.Method = 101 // unary: Proposal -> ProposalResponse, served by the leader of a group
+	MethodReportRuns wire.Method = 102 // unary: RunsReport -> Ack, served by any control host
 
 	MethodJobSubmit  wire.Method = 110 // unary: jobs.Spec -> Ack
 	MethodJobRead    wire.Method = 111 // unary: JobRead -> JobResults
@@ -109,17 +112,25 @@
 // FollowPush carries the changes since the previous push. The first one carries the
 // full state.
 type FollowPush struct {
-	Catalog      *PackedCatalog `msgpack:"c,omitempty"`
-	Targets      []TargetReport `msgpack:"t,omitempty"`
-	StorageHosts []Member       `msgpack:"m,omitempty"` // all recently seen storage hosts, if any of them changed
-	PeerLoads    *PeerLoads     `msgpack:"u,omitempty"` // if FollowPing requested it
-	ControlHosts []string       `msgpack:"o,omitempty"` // wire addresses of the control hosts
+	Catalog      *PackedCatalog     `msgpack:"c,omitempty"`
+	Verdicts     *quarantine.Update `msgpack:"v,omitempty"`
+	Targets      []TargetReport     `msgpack:"t,omitempty"`
+	StorageHosts []Member           `msgpack:"m,omitempty"` // all recently seen storage hosts, if any of them changed
+	PeerLoads    *PeerLoads         `msgpack:"u,omitempty"` // if FollowPing requested it
+	ControlHosts []string           `msgpack:"o,omitempty"` // wire addresses of the control hosts
 	// ConfirmedAgeMS is the time in milliseconds since a quorum confirmed that the
 	// sender's catalog was current; nil if it is not reported.
 	ConfirmedAgeMS *int64 `msgpack:"f,omitempty"`
 	Relay          bool   `msgpack:"y,omitempty"` // the sender is not a control host; only ControlHosts is set
 }
 
+// RunsReport is a gateway's report of requests that may crash targets.
+type RunsReport struct {
+	Member    string                `msgpack:"m"` // name of the gateway
+	Crashes   []catalog.CrashReport `msgpack:"c,omitempty"`
+	Completed []quarantine.Ref      `msgpack:"d,omitempty"` // suspects that ran to a complete response
+}
+
 // Proposal is an encoded command for the leader of a group.
 type Proposal struct {
 	Group   uint32 `msgpack:"g"`
@@ -195,6 +206,7 @@
 	RemainingMS int64    `msgpack:"l"` // time until the request's deadline, milliseconds
 	Exclude     []string `msgpack:"x,omitempty"`
 	IsRetry     bool     `msgpack:"r,omitempty"` // an earlier attempt of the caller was refused
+	IsSuspect   bool     `msgpack:"u,omitempty"` // the request may crash its target
 }
 
 // SlotGrant is the response to SlotRequest and names the target.
--- a/services/agent/harness_test.go
+++ b/services/agent/harness_test.go
@@ -18,8 +18,8 @@
 
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
-	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
 	"banyanwalk/infra/wire"
--- a/services/control/membership.go
+++ b/services/control/membership.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"banyanwalk/core/fleet"
-	"banyanwalk/core/quarantine"
 	"banyanwalk/core/lease"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/infra/rpc"
 )
 
--- a/services/control/replication_test.go
+++ b/services/control/replication_test.go
@@ -10,8 +10,8 @@
 
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
-	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/wire"
 )
--- a/services/control/status.go
+++ b/services/control/status.go
@@ -10,8 +10,8 @@
 	"github.com/gofiber/fiber/v3"
 
 	"banyanwalk/core/fleet"
-	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/raft"
 	"banyanwalk/infra/rpc"
 )
--- a/services/director/director.go
+++ b/services/director/director.go
@@ -124,6 +124,7 @@
 	s.group.Register(s.wire)
 	s.wire.Handle(rpc.MethodFollow, s.serveFollower)
 	wire.HandleUnary(s.wire, rpc.MethodSiteStatus, s.siteStatus)
+	wire.HandleUnary(s.wire, rpc.MethodReportRuns, s.reportRuns)
 	return s, nil
 }
 
@@ -204,6 +205,7 @@
 			if s.group.Replica().Status().IsLeader {
 				s.bootstrapStorage(ctx, now)
 				s.completeRetirements(ctx, now)
+				s.expireVerdicts(ctx, now)
 			}
 		}
 	}
--- a/services/director/follow.go
+++ b/services/director/follow.go
@@ -94,6 +94,7 @@
 	wantsPeerLoads     *atomic.Bool // the follower asks for the aggregate of the other processes
 	registryRevision   uint64       // registry revision last sent
 	catalogRevision    uint64       // catalog revision last sent
+	verdictRevision    uint64       // revision of the verdicts last sent
 	storageHosts       []rpc.Member
 	controlHosts       []uint64  // replica IDs last sent
 	storageHostsSentAt time.Time // when the storage hosts were last sent
@@ -109,13 +110,17 @@
 		push.Catalog = packed
 		p.catalogRevision = packed.State.Revision
 	}
+	if verdicts := p.server.state.verdictsSince(p.verdictRevision); verdicts != nil && p.server.isCurrent() {
+		push.Verdicts = verdicts
+		p.verdictRevision = verdicts.Revision
+	}
 	if controls := p.server.group.Members(); !slices.Equal(controls, p.controlHosts) {
 		push.ControlHosts = replicated.Addrs(controls)
 		p.controlHosts = controls
 	}
 	p.addStorageHosts(now, &push)
 	p.addPeerLoads(now, &push)
-	empty := push.Catalog == nil && push.ControlHosts == nil && len(push.Targets) == 0 && push.StorageHosts == nil && push.PeerLoads == nil
+	empty := push.Catalog == nil && push.Verdicts == nil && push.ControlHosts == nil && len(push.Targets) == 0 && push.StorageHosts == nil && push.PeerLoads == nil
 	if empty && now.Sub(p.lastSent) < keepaliveInterval {
 		return nil
 	}
--- a/services/director/state.go
+++ b/services/director/state.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -8,6 +9,7 @@
 
 	"banyanwalk/core/catalog"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/infra/rpc"
 )
 
@@ -15,10 +17,13 @@
 // commands; readers load the newest published state. It implements
 // replica.StateMachine.
 type catalogState struct {
-	machine *catalog.Machine // owned by the applying goroutine
+	mu      sync.Mutex // guards machine
+	machine *catalog.Machine
 	current atomic.Pointer[catalog.State]
 	packed  atomic.Pointer[rpc.PackedCatalog] // current state as pushed to followers
-	changed func()
+	// verdictRevision is the log index of the last change of the verdicts.
+	verdictRevision atomic.Uint64
+	changed         func()
 }
 
 func newCatalogState(changed func()) *catalogState {
@@ -34,27 +39,41 @@
 	if err := msgpack.Unmarshal(command, &decoded); err != nil {
 		return catalog.Result{Error: outcome.New(outcome.Internal, outcome.NotRun, "decode command: %v", err)}
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	result := c.machine.Apply(index, decoded)
 	if result.Changed {
 		c.publish()
 	}
+	if result.VerdictsChanged {
+		c.publishVerdicts()
+	}
 	return result
 }
 
 // Snapshot encodes the complete state.
-func (c *catalogState) Snapshot() ([]byte, error) { return msgpack.Marshal(c.machine.State()) }
+func (c *catalogState) Snapshot() ([]byte, error) {
+	c.mu.Lock()
+	snapshot := c.machine.Snapshot()
+	c.mu.Unlock()
+	return msgpack.Marshal(&snapshot)
+}
 
 // Restore replaces the complete state.
 func (c *catalogState) Restore(snapshot []byte) error {
-	var state catalog.State
+	var state catalog.Snapshot
 	if err := msgpack.Unmarshal(snapshot, &state); err != nil {
 		return errors.Wrap(err, "decode catalog snapshot")
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.machine = catalog.Restore(state)
 	c.publish()
+	c.publishVerdicts()
 	return nil
 }
 
+// publish makes the state visible to readers. The caller holds the lock.
 func (c *catalogState) publish() {
 	state := c.machine.State()
 	c.current.Store(state)
@@ -62,4 +81,33 @@
 	c.changed()
 }
 
+// publishVerdicts announces a change of the verdicts. The caller holds the lock.
+func (c *catalogState) publishVerdicts() {
+	c.verdictRevision.Store(c.machine.Verdicts().Revision())
+	c.changed()
+}
+
+// verdictsSince returns the changes of the verdicts after a revision, or nil if
+// there are none.
+func (c *catalogState) verdictsSince(revision uint64) *quarantine.Update {
+	if c.verdictRevision.Load() <= revision {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	update := c.machine.Verdicts().UpdateSince(revision)
+	return &update
+}
+
+// hasExpiredVerdicts reports whether the times to live of verdicts call for a
+// command.
+func (c *catalogState) hasExpiredVerdicts(nowMS int64) bool {
+	if c.verdictRevision.Load() == 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Verdicts().HasExpired(nowMS)
+}
+
 func (c *catalogState) state() *catalog.State { return c.current.Load() }
--- /dev/null
+++ b/services/entry/crash_reporter.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"banyanwalk/core/catalog"
+	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
+	"banyanwalk/infra/pause"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
+	"banyanwalk/services/follow"
+)
+
+const (
+	// reportQueue bounds the reports waiting to be sent.
+	reportQueue = 1024
+	// reportBatchDelay lets reports that occur together share a message.
+	reportBatchDelay    = 5 * time.Millisecond
+	reportTimeout       = 600 * time.Millisecond // of one call of a control host
+	reportRetryInterval = 50 * time.Millisecond
+	// reportExpiry is how long a report is retried.
+	reportExpiry = 30 * time.Second
+)
+
+// crashReporter reports requests that may crash targets to the control hosts.
+type crashReporter struct {
+	follower *follow.Follower
+	pool     *wire.Pool
+	log      *telemetry.Log
+	dropped  metrics.Counter
+	queue    chan runsReport
+}
+
+// runsReport is one queued report; one of its fields is set.
+type runsReport struct {
+	crash     *catalog.CrashReport
+	completed []quarantine.Ref
+}
+
+func newCrashReporter(f *follow.Follower, log *telemetry.Log, registry metrics.Registry) *crashReporter {
+	return &crashReporter{
+		follower: f, pool: wire.NewPool(nil), log: log, queue: make(chan runsReport, reportQueue),
+		dropped: metrics.GetOrRegisterCounter("entry.crash_reports.dropped", registry),
+	}
+}
+
+// add queues a report. It never blocks; if the queue is full, it drops the report
+// and counts it.
+func (r *crashReporter) add(crash *catalog.CrashReport, completed []quarantine.Ref) {
+	select {
+	case r.queue <- runsReport{crash: crash, completed: completed}:
+	default:
+		r.dropped.Inc(1)
+	}
+}
+
+// run sends queued reports until ctx ends.
+func (r *crashReporter) run(ctx context.Context) {
+	defer r.pool.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-r.queue:
+			pause.For(ctx, reportBatchDelay)
+			r.send(ctx, r.collect(first))
+		}
+	}
+}
+
+// collect joins the queued reports, those of one crash in one entry.
+func (r *crashReporter) collect(next runsReport) *rpc.RunsReport {
+	report := &rpc.RunsReport{Member: r.follower.Name()}
+	positions := make(map[quarantine.Crash]int)
+	for {
+		report.Completed = append(report.Completed, next.completed...)
+		if c := next.crash; c != nil {
+			at, found := positions[c.Crash]
+			if !found {
+				at = len(report.Crashes)
+				positions[c.Crash] = at
+				report.Crashes = append(report.Crashes, catalog.CrashReport{Crash: c.Crash})
+			}
+			report.Crashes[at].Runs = append(report.Crashes[at].Runs, c.Runs...)
+		}
+		select {
+		case next = <-r.queue:
+		default:
+			return report
+		}
+	}
+}
+
+// send sends a report to one control host after another until one has logged it.
+func (r *crashReporter) send(ctx context.Context, report *rpc.RunsReport) {
+	ctx, cancel := context.WithTimeout(ctx, reportExpiry)
+	defer cancel()
+	for {
+		err := r.sendOnce(ctx, report)
+		if err == nil {
+			return
+		}
+		if !pause.For(ctx, reportRetryInterval) {
+			r.log.Error("crash_report_failed", "crashes", len(report.Crashes), "completed", len(report.Completed), "error", err)
+			return
+		}
+	}
+}
+
+func (r *crashReporter) sendOnce(ctx context.Context, report *rpc.RunsReport) error {
+	err := error(outcome.New(outcome.Unreachable, outcome.NotRun, "no control host is known"))
+	for _, host := range r.follower.ControlHosts() {
+		bounded, cancel := context.WithTimeout(ctx, reportTimeout)
+		err = r.pool.Call(bounded, host, rpc.MethodReportRuns, report, &rpc.Ack{})
+		cancel()
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -82,6 +82,9 @@
 	openConns    atomic.Int64 // callers' open connections
 	preemptions  *preemptions
 	slots        *slots
+	suspects     *suspects
+	crashes      *crashDetector
+	reporter     *crashReporter
 }
 
 // New returns a gateway that is ready to serve.
@@ -99,6 +102,9 @@
 	}
 	s.preemptions = newPreemptions(s.jobs)
 	s.slots = newSlots(cfg.Follower, s.jobs)
+	s.reporter = newCrashReporter(cfg.Follower, cfg.Log, cfg.Metrics)
+	s.suspects = newSuspects(cfg.Follower, s.reporter, cfg.Log, cfg.Metrics)
+	s.crashes = newCrashDetector(cfg.Follower, s.suspects.crashed)
 	return s
 }
 
@@ -142,14 +148,12 @@
 	serveEnded := make(chan struct{})
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	p.Go(func() error {
-		s.preemptions.run(background)
-		return nil
-	})
-	p.Go(func() error {
-		s.slots.sendReleases(background)
-		return nil
-	})
+	for _, task := range []func(context.Context){s.preemptions.run, s.slots.sendReleases, s.crashes.run, s.reporter.run} {
+		p.Go(func() error {
+			task(background)
+			return nil
+		})
+	}
 	p.Go(func() error {
 		defer stop()
 		defer close(serveEnded)
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -12,6 +12,7 @@
 
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/placement"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
 	"banyanwalk/infra/netpeek"
@@ -52,6 +53,8 @@
 	headAfter    time.Duration  // from the start until the response header arrived
 	slot         *slot          // at target; nil: none
 	targetFailed bool           // the target failed or broke the connection
+	ref          quarantine.Ref // identifies the content; zero: not computed yet
+	knownCrashes int            // crashes of this content known when it was sent to target
 	response     *targetcall.Response
 }
 
@@ -118,7 +121,8 @@
 			f.writeResponse(ctx, body)
 			return nil
 		}
-		f.recordFailure(&targetcall.Failure{Outcome: outcome.MayHaveRun, Status: f.response.Status, Reason: "response was cut off or too large"})
+		f.recordFailure(&targetcall.Failure{Outcome: outcome.MayHaveRun, Status: f.response.Status, Reason: "response was cut off or too large",
+			Closed: err != nil && targetcall.IsClosed(err)})
 		if failure := f.checkRetry(outcome.MayHaveRun); failure != nil {
 			return failure
 		}
@@ -179,6 +183,9 @@
 	}
 	if failure == nil {
 		s.follower.Targets.Succeeded(target)
+		if status < http.StatusMultipleChoices {
+			f.noteCompleted()
+		}
 	}
 	s.log.Info("request_finished", "request", f.call.id, "route", f.call.route.Name, "workspace", f.call.workspaceName(),
 		"document", f.call.table.Version(), "target", target, "status", status, "runs", f.executions, "refused", f.refusals,
@@ -188,6 +195,9 @@
 // attempt sends the request to one target after another until one responds.
 func (f *forwarding) attempt() *outcome.Error {
 	for {
+		if failure := f.checkSuspicion(); failure != nil {
+			return failure
+		}
 		if failure := f.acquireTarget(); failure != nil {
 			return failure
 		}
@@ -270,7 +280,12 @@
 	}
 	s.log.Info("attempt_failed", "request", f.call.id, "target", f.target.ID, "addr", f.target.Addr, "outcome", failure.Outcome.String(),
 		"status", failure.Status, "runs", f.executions, "refused", f.refusals, "after_ms", ms(time.Since(f.call.started)), "reason", failure.Reason)
+	target := f.target
 	f.releaseTarget()
+	if failure.Closed && failure.Outcome != outcome.NotRun && f.ctx.Err() == nil {
+		run := quarantine.Run{Ref: f.contentRef(), KnownCrashes: f.knownCrashes}
+		s.crashes.connectionClosed(f.ctx, &brokenRun{request: f.call.id, run: run, target: target, at: time.Now()})
+	}
 }
 
 // checkRetry returns nil if the request may be sent to another target, or the
--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -186,6 +186,10 @@
 	promisesNotRun := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
 		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
 	switch {
+	case failure.Code == outcome.Quarantined && failure.Outcome == outcome.NotRun:
+		return http.StatusServiceUnavailable // a site's callers take a 4xx for a fault of their own
+	case failure.Code == outcome.Quarantined:
+		return http.StatusBadGateway
 	case failure.Outcome != outcome.NotRun && promisesNotRun:
 		return http.StatusBadGateway
 	case failure.Outcome == outcome.NotRun && status >= http.StatusInternalServerError:
--- a/services/entry/stream.go
+++ b/services/entry/stream.go
@@ -81,7 +81,7 @@
 // it.
 func (r *eventStreamReader) resume(cause error) error {
 	f := r.f
-	f.recordFailure(&targetcall.Failure{Outcome: outcome.MayHaveRun, Status: f.response.Status, Reason: "stream: " + cause.Error()})
+	f.recordFailure(&targetcall.Failure{Outcome: outcome.MayHaveRun, Status: f.response.Status, Reason: "stream: " + cause.Error(), Closed: targetcall.IsClosed(cause)})
 	if !f.call.route.Resumable {
 		return cause
 	}
--- /dev/null
+++ b/services/entry/suspects.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"banyanwalk/core/catalog"
+	"banyanwalk/core/quarantine"
+	"banyanwalk/infra/telemetry"
+	"banyanwalk/services/follow"
+)
+
+const (
+	// localRetention is how long this gateway's own evidence counts beside the
+	// site's verdict. By then the site has it too.
+	localRetention = 10 * time.Second
+	// reportableCrashes is the number of crashes from which on a complete response
+	// is reported: a request that has crashed one target needs no clearing.
+	reportableCrashes = 2
+)
+
+// suspects holds what this gateway knows of requests that may crash targets: the
+// site's verdicts, and its own evidence until the site's verdict includes it. It is
+// safe for concurrent use.
+type suspects struct {
+	follower *follow.Follower
+	reporter *crashReporter
+	log      *telemetry.Log
+	crashes  metrics.Counter
+	started  time.Time
+
+	mu    sync.Mutex
+	local *quarantine.Verdicts
+	index uint64 // of the last change of local
+}
+
+// suspicion is what is known of one request.
+type suspicion struct {
+	level   quarantine.Suspicion
+	crashes int
+	source  string        // whose evidence decides: "site" or "gateway"
+	age     time.Duration // of that evidence
+}
+
+func newSuspects(f *follow.Follower, reporter *crashReporter, log *telemetry.Log, registry metrics.Registry) *suspects {
+	return &suspects{
+		follower: f, reporter: reporter, log: log, started: time.Now(), local: quarantine.NewVerdicts(),
+		crashes: metrics.GetOrRegisterCounter("entry.targets.crashed", registry),
+	}
+}
+
+// empty reports whether no request is suspected, so that no digest is needed.
+func (s *suspects) empty() bool {
+	if s.follower.HasVerdicts() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.local.Len() == 0
+}
+
+// lookup returns what is known of a request.
+func (s *suspects) lookup(ref quarantine.Ref) suspicion {
+	now := time.Now()
+	site, known := s.follower.Verdict(ref)
+	found := suspicion{level: site.Level, crashes: site.Crashes, source: "site", age: now.Sub(site.ReceivedAt)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record, suspected := s.local.Lookup(ref)
+	if !suspected {
+		return found
+	}
+	lastCrash := s.started.Add(time.Duration(record.LastCrashMS) * time.Millisecond)
+	if now.Sub(lastCrash) > localRetention || known && site.Level == quarantine.Cleared && site.ReceivedAt.After(lastCrash) {
+		return found
+	}
+	if record.Verdict.Level > found.level || record.Verdict.Crashes > found.crashes {
+		return suspicion{level: max(found.level, record.Verdict.Level), crashes: max(found.crashes, record.Verdict.Crashes),
+			source: "gateway", age: now.Sub(lastCrash)}
+	}
+	return found
+}
+
+// crashed records that a run ended with the crash of its target, and reports it to
+// the site.
+func (s *suspects) crashed(b *brokenRun, evidence string) {
+	crash := quarantine.Crash{Target: b.target.ID, Incarnation: uint64(b.target.Incarnation)}
+	s.mu.Lock()
+	s.index++
+	nowMS := time.Since(s.started).Milliseconds()
+	s.local.RecordRuns(s.index, crash, []quarantine.Run{b.run}, nowMS)
+	s.dropOld(nowMS)
+	s.mu.Unlock()
+	s.crashes.Inc(1)
+	s.reporter.add(&catalog.CrashReport{Crash: crash, Runs: []quarantine.Run{b.run}}, nil)
+	known := s.lookup(b.run.Ref)
+	s.log.Warn("target_crashed", "request", b.request, "digest", b.run.Digest.String(), "workspace", b.run.Workspace, "target", b.target.ID,
+		"target_incarnation", b.target.Incarnation, "evidence", evidence, "crashes", known.crashes, "suspicion", known.level.String(),
+		"after_ms", time.Since(b.at).Milliseconds())
+}
+
+// dropOld drops evidence older than localRetention. The caller holds the lock.
+func (s *suspects) dropOld(nowMS int64) {
+	var old []quarantine.Ref
+	for _, verdict := range s.local.All() {
+		if record, _ := s.local.Lookup(verdict.Ref()); nowMS-record.LastCrashMS > localRetention.Milliseconds() {
+			old = append(old, verdict.Ref())
+		}
+	}
+	s.local.Complete(s.index, old)
+}
+
+// completed records that a request ran to a complete response. It clears a request
+// that had crashed several targets: one that crashes each target never completes.
+func (s *suspects) completed(ref quarantine.Ref) {
+	known := s.lookup(ref)
+	s.mu.Lock()
+	s.index++
+	s.local.Complete(s.index, []quarantine.Ref{ref})
+	s.mu.Unlock()
+	if known.crashes < reportableCrashes {
+		return
+	}
+	s.reporter.add(nil, []quarantine.Ref{ref})
+	s.log.Info("suspect_completed", "digest", ref.Digest.String(), "workspace", ref.Workspace, "crashes", known.crashes,
+		"source", known.source, "age_ms", known.age.Milliseconds())
+}
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -16,6 +16,7 @@
 
 	"banyanwalk/core/catalog"
 	"banyanwalk/core/placement"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/quota"
 	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
@@ -63,8 +64,9 @@
 	Targets *placement.Targets // targets in service and their load
 	Buckets *quota.Buckets     // token buckets of the workspaces
 
-	table   atomic.Pointer[routing.Table]
-	catalog atomic.Pointer[catalog.State]
+	table    atomic.Pointer[routing.Table]
+	catalog  atomic.Pointer[catalog.State]
+	verdicts atomic.Pointer[map[quarantine.Ref]Verdict]
 	// confirmed is the boottime instant at which the catalog was last known to be
 	// current.
 	confirmed atomic.Int64
@@ -101,6 +103,7 @@
 		changed:           make(chan struct{}),
 	}
 	f.catalog.Store(&catalog.State{})
+	f.verdicts.Store(&map[quarantine.Ref]Verdict{})
 	f.confirmed.Store(int64(boottime.Never))
 	reportNow := make(chan struct{})
 	f.reportNow.Store(&reportNow)
@@ -254,5 +257,8 @@
 	return batch
 }
 
+// Name returns the name of this process.
+func (f *Follower) Name() string { return f.cfg.Member.Name }
+
 // Incarnation returns the random ID of this start of the process.
 func (f *Follower) Incarnation() uint64 { return f.cfg.Member.Incarnation }
--- a/services/follow/follow_test.go
+++ b/services/follow/follow_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanwalk/core/catalog"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
 	"banyanwalk/infra/rpc"
@@ -90,3 +91,34 @@
 	assert.False(t, relay.wantsPeerLoads("c1"))
 	assert.False(t, relay.disconnected, "it needs no aggregate")
 }
+
+// Verdicts of several control hosts are merged by revision; a host that lags does
+// not bring back a cleared one, and a full update drops those that it lacks.
+func TestVerdictsAreMergedByRevision(t *testing.T) {
+	f := newFollower(false)
+	now := time.Now()
+	ref := quarantine.Ref{Workspace: "w", Digest: quarantine.Digest{1}}
+	push := func(revision uint64, full bool, verdicts ...quarantine.Verdict) {
+		f.ApplyPush(now, "c", &rpc.FollowPush{Verdicts: &quarantine.Update{Revision: revision, Full: full, Verdicts: verdicts}})
+	}
+	verdict := func(level quarantine.Suspicion, revision uint64) quarantine.Verdict {
+		return quarantine.Verdict{Workspace: ref.Workspace, Digest: ref.Digest, Level: level, Crashes: 3, Revision: revision}
+	}
+	level := func() quarantine.Suspicion {
+		known, _ := f.Verdict(ref)
+		return known.Level
+	}
+	assert.False(t, f.HasVerdicts())
+	push(5, true, verdict(quarantine.Quarantined, 5))
+	assert.Equal(t, quarantine.Quarantined, level())
+	push(4, false, verdict(quarantine.Suspect, 4))
+	assert.Equal(t, quarantine.Quarantined, level())
+	push(6, false, verdict(quarantine.Cleared, 6))
+	assert.Equal(t, quarantine.Cleared, level())
+	push(5, true, verdict(quarantine.Quarantined, 5))
+	assert.Equal(t, quarantine.Cleared, level())
+	push(8, false, verdict(quarantine.Suspect, 8))
+	assert.Equal(t, quarantine.Suspect, level())
+	push(9, true)
+	assert.False(t, f.HasVerdicts())
+}
--- a/services/follow/merge.go
+++ b/services/follow/merge.go
@@ -24,6 +24,7 @@
 	if f.mergeTargets(now, push.Targets) {
 		viewChanged = true
 	}
+	f.mergeVerdicts(now, from, push.Verdicts)
 	f.lastPushes[from] = now
 	if push.ConfirmedAgeMS != nil {
 		f.mergeConfirmedAge(time.Duration(*push.ConfirmedAgeMS) * time.Millisecond)
--- a/services/gateway/dispatch.go
+++ b/services/gateway/dispatch.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"banyanwalk/core/fleet"
-	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/retry"
 	"banyanwalk/infra/rpc"
 )
--- a/services/gateway/dispatch_test.go
+++ b/services/gateway/dispatch_test.go
@@ -12,8 +12,8 @@
 
 	"banyanwalk/core/auth"
 	"banyanwalk/core/fleet"
-	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/wire"
 )
--- a/services/gateway/request.go
+++ b/services/gateway/request.go
@@ -13,8 +13,8 @@
 	"banyanwalk/core/auth"
 	"banyanwalk/core/bundle"
 	"banyanwalk/core/fleet"
-	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/infra/rpc"
 )
 
--- a/services/gateway/server_test.go
+++ b/services/gateway/server_test.go
@@ -10,8 +10,8 @@
 
 	"banyanwalk/core/auth"
 	"banyanwalk/core/fleet"
-	"banyanwalk/core/quarantine"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/infra/httpapi"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/wire"
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,6 +43,7 @@
 	Outcome outcome.Outcome
 	Status  int    // of the response; 0: there is none
 	Reason  string // for logs
+	Closed  bool   // the target closed or reset the connection, as it does when its process ends
 }
 
 // Error returns the reason, the status and the outcome.
@@ -192,7 +194,13 @@
 	if errors.As(err, &netErr) && netErr.Timeout() {
 		reason = what + ": timeout"
 	}
-	return &Failure{Outcome: outcome.MayHaveRun, Reason: reason}
+	return &Failure{Outcome: outcome.MayHaveRun, Reason: reason, Closed: IsClosed(err)}
+}
+
+// IsClosed reports whether an I/O error means that the target closed or reset the
+// connection.
+func IsClosed(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, ErrTruncatedEvent, syscall.ECONNRESET, syscall.EPIPE)
 }
 
 // readFinalResponse reads the header of a response and skips interim (1xx) ones.
