services/jobhost: sound items that are not placed again, or given up (failing tests)

Four ways to that, found by reading how slots and attempts are counted; all four tests fail on this code.

--- /dev/null
+++ b/services/jobhost/unlucky_item_test.go
@@ -0,0 +1,79 @@
+package jobhost
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"banyanwalk/core/jobs"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/services/standin"
+)
+
+// acquireSlots acquires slots that are never released, as those of gateways that
+// are killed with their requests.
+func (f *fixture) acquireSlots(count int, remaining time.Duration) {
+	f.t.Helper()
+	for n := range count {
+		_, err := f.host.broker.acquire(f.t.Context(), &rpc.SlotRequest{ID: rpc.SlotID{Incarnation: 1, Number: uint64(n)}, Service: "llm",
+			RemainingMS: remaining.Milliseconds()})
+		require.NoError(f.t, err)
+	}
+}
+
+// Grants whose release was lost kept their slots until the 256th grant after them:
+// after a burst of crashes, with no online request any more, items were never
+// placed again.
+func TestItemIsPlacedAfterReleasesWereLost(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Events: 3})
+	f.acquireSlots(targetSlots, 10*time.Millisecond)
+	require.NoError(t, f.submit("job", 3))
+	assert.Len(t, f.waitForResults("job", 3), 3)
+}
+
+// A target that has started again under another id answers that it did not run the
+// item. This counted as a failed attempt, so that a burst of restarts gave a sound
+// item up.
+func TestItemOutlivesTargetsThatServeAnotherID(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Events: 3})
+	report := f.targets[0].Report("llm", "", targetSlots)
+	report.Report.ID = "former" // of the process that had the address before
+	report.Report.Incarnation, report.Report.Sequence = 2, 1
+	f.follower.ApplyPush(time.Now(), "test", &rpc.FollowPush{Targets: []rpc.TargetReport{report}})
+	require.NoError(t, f.submit("job", 2))
+	time.Sleep(4 * retryDelay) // more failed attempts than the job allows
+	report = f.targets[0].Report("llm", "", targetSlots)
+	report.Report.Incarnation, report.Report.Sequence = 3, 1
+	f.follower.ApplyPush(time.Now(), "test", &rpc.FollowPush{Targets: []rpc.TargetReport{report}})
+	for _, result := range f.waitForResults("job", 2) {
+		assert.Equal(t, jobs.Completed, result.State, result.Item)
+	}
+}
+
+// Only the target's own failure of the request counts as an attempt.
+func TestItemOutlivesOtherFailures(t *testing.T) {
+	for _, status := range []int{http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusNotFound} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			f := newFixture(t, standin.Behaviour{Events: 3, Status: status})
+			require.NoError(t, f.submit("job", 1))
+			require.Eventually(t, func() bool { return len(f.runs()) >= 2 }, eventuallyTimeout, time.Millisecond)
+			f.targets[0].SetBehaviour(func(string) standin.Behaviour { return standin.Behaviour{Events: 3} })
+			assert.Equal(t, jobs.Completed, f.waitForResults("job", 1)[0].State)
+		})
+	}
+}
+
+// Batch items leave a slot free for online requests; a target that has just one
+// slot still runs them when no other target does.
+func TestItemIsPlacedOnTargetsWithOneSlot(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Events: 3})
+	report := f.targets[0].Report("llm", "", 1)
+	report.Report.Sequence = 2
+	f.follower.ApplyPush(time.Now(), "test", &rpc.FollowPush{Targets: []rpc.TargetReport{report}})
+	require.NoError(t, f.submit("job", 2))
+	assert.Len(t, f.waitForResults("job", 2), 2)
+}
