services/jobhost: expired slots are swept every 500 ms

What callers saw: after a burst with lost releases (killed gateways, a lost leader, a full queue) and no online traffic any more, an accepted item was never placed although the targets had room. Cause: expired grants were dropped only at every 256th new grant.

--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -26,7 +26,8 @@
 	maxQueueOnRetry = 10
 	// busyRetryAfter is the Retry-After of a request that got no slot.
 	busyRetryAfter = 300 * time.Millisecond
-	grantsPerSweep = 256 // grants between two sweeps for expired ones
+	// sweepInterval is the time between two sweeps for expired grants.
+	sweepInterval = 500 * time.Millisecond
 )
 
 // broker grants target slots to the online requests of all gateways, so that it
@@ -44,9 +45,9 @@
 	granted metrics.Counter
 	refused metrics.Counter
 
-	mu         sync.Mutex
-	grants     map[rpc.SlotID]grant
-	grantCount int
+	mu        sync.Mutex
+	grants    map[rpc.SlotID]grant
+	lastSweep time.Time
 }
 
 type grant struct {
@@ -105,16 +106,24 @@
 	if full {
 		b.runner.preempt(map[string]int{target.ID: 1})
 	}
-	b.recordGrant(r.ID, target, now.Add(time.Duration(r.RemainingMS)*time.Millisecond+grantGrace), now)
+	b.recordGrant(r.ID, target, now.Add(time.Duration(r.RemainingMS)*time.Millisecond+grantGrace))
 	b.granted.Inc(1)
 	return &rpc.SlotGrant{Target: target.ID, Total: b.targets.TotalLoad(target.ID)}, nil
 }
 
-func (b *broker) recordGrant(id rpc.SlotID, target *roster.Record, until, now time.Time) {
+func (b *broker) recordGrant(id rpc.SlotID, target *roster.Record, until time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.grants[id] = grant{target: target.ID, expires: until}
-	if b.grantCount++; b.grantCount%grantsPerSweep == 0 {
+}
+
+// sweep drops expired grants every sweepInterval. Their releases were lost, and
+// without it batch items would wait for these slots for ever.
+func (b *broker) sweep(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.lastSweep) >= sweepInterval {
+		b.lastSweep = now
 		b.dropExpired(now)
 	}
 }
--- a/services/jobhost/runner.go
+++ b/services/jobhost/runner.go
@@ -129,6 +129,7 @@
 // schedule cancels and preempts runs, starts runnable items, and does the periodic
 // checkpoints and retention.
 func (r *runner) schedule(ctx context.Context, now time.Time) {
+	r.server.broker.sweep(now)
 	r.cancelClosed()
 	r.preemptAtFullTargets()
 	order, items := r.runnableItems(now)
