services/jobhost: two suspects get separate targets

Cause: a sound request that shared three targets with one that crashes them would be convicted with it. Change: gateways tell the broker that a request is suspected, and the broker prefers targets without another suspect; it does not refuse for it. Whole isolation, as agents do, was ruled out: no target is empty under load, and a request would hold up all others. A repeated request for a slot no longer holds the first one's count.

--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -231,7 +231,7 @@
 	if service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
 	}
-	acquired, failure := s.acquireSlot(f.ctx, f.call, service, query)
+	acquired, failure := s.acquireSlot(f.ctx, f.call, service, query, f.knownCrashes > 0)
 	f.sentAfter = time.Since(f.call.started)
 	if failure != nil {
 		return failure.WithOutcome(f.outcomeSoFar())
@@ -245,7 +245,7 @@
 
 // acquireSlot acquires a slot for a request. Only model engines are shared with
 // batch items, so requests to other services bypass the broker.
-func (s *Server) acquireSlot(ctx context.Context, c *call, service *routing.Service, q placement.Query) (*slot, *outcome.Error) {
+func (s *Server) acquireSlot(ctx context.Context, c *call, service *routing.Service, q placement.Query, suspect bool) (*slot, *outcome.Error) {
 	if service == nil || service.Slots == 0 {
 		target, _ := s.follower.Targets.Acquire(time.Now(), q)
 		if target == nil {
@@ -257,6 +257,7 @@
 		DataCentre:  s.cfg.DataCentre,
 		RemainingMS: time.Until(c.deadline).Milliseconds(),
 		IsRetry:     c.isRetry,
+		IsSuspect:   suspect,
 	}
 	return s.slots.acquire(ctx, request, q)
 }
--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,7 @@
 type grant struct {
 	target  string
 	expires time.Time
+	suspect bool // the request may crash the target
 }
 
 func newBroker(s *Server, r *runner) *broker {
@@ -96,7 +98,7 @@
 		}
 	}
 	now := time.Now()
-	target, full := b.targets.Acquire(now, query)
+	target, full := b.acquireTarget(now, query, r.IsSuspect)
 	if target == nil {
 		b.refused.Inc(1)
 		slots, taken, targets := b.targets.Free(r.Service)
@@ -106,15 +108,39 @@
 	if full {
 		b.runner.preempt(map[string]int{target.ID: 1})
 	}
-	b.recordGrant(r.ID, target, now.Add(time.Duration(r.RemainingMS)*time.Millisecond+grantGrace))
+	expires := now.Add(time.Duration(r.RemainingMS)*time.Millisecond + grantGrace)
+	b.recordGrant(r.ID, grant{target: target.ID, expires: expires, suspect: r.IsSuspect})
 	b.granted.Inc(1)
 	return &rpc.SlotGrant{Target: target.ID, Total: b.targets.TotalLoad(target.ID)}, nil
 }
 
-func (b *broker) recordGrant(id rpc.SlotID, target *roster.Record, until time.Time) {
+// acquireTarget chooses a target. A request that may crash it goes, where it can, to
+// one without another such request: if the target then crashes, the evidence is
+// against one of them only.
+func (b *broker) acquireTarget(now time.Time, q placement.Query, suspect bool) (target *roster.Record, full bool) {
+	if !suspect {
+		return b.targets.Acquire(now, q)
+	}
+	separate := q
+	separate.Exclude = maps.Clone(q.Exclude)
+	b.mu.Lock()
+	for _, g := range b.grants {
+		if g.suspect {
+			separate.Exclude[g.target] = true
+		}
+	}
+	b.mu.Unlock()
+	if target, full = b.targets.Acquire(now, separate); target != nil {
+		return target, full
+	}
+	return b.targets.Acquire(now, q)
+}
+
+func (b *broker) recordGrant(id rpc.SlotID, g grant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.grants[id] = grant{target: target.ID, expires: until}
+	b.dropGrant(id) // of a repeated request
+	b.grants[id] = g
 }
 
 // sweep drops expired grants every sweepInterval. Their releases were lost, and
--- a/services/jobhost/jobhost_test.go
+++ b/services/jobhost/jobhost_test.go
@@ -17,6 +17,7 @@
 	"banyanwalk/core/catalog"
 	"banyanwalk/core/jobs"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/placement"
 	"banyanwalk/core/routing"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
@@ -303,3 +304,24 @@
 	assert.False(t, shouldJoin(6, wanted, oneGone), "one replacement is enough")
 	assert.False(t, shouldJoin(5, wanted, []rpc.StorageState{host(2), host(4), host(5)}), "there is no leader")
 }
+
+// Two requests that may crash their target get different ones as long as there are
+// any, though one has room for both.
+func TestSuspectsGetSeparateTargets(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Events: 1}, standin.Behaviour{Events: 1})
+	acquire := func(n uint64, suspect bool) string {
+		t.Helper()
+		granted, err := f.host.broker.acquire(t.Context(), &rpc.SlotRequest{ID: rpc.SlotID{Incarnation: 1, Number: n}, Service: "llm",
+			RemainingMS: 60_000, IsSuspect: suspect})
+		require.NoError(t, err)
+		return granted.Target
+	}
+	first := acquire(1, true)
+	for range 2 { // the other target has more load
+		_, _ = f.follower.Targets.Acquire(time.Now(), placement.Query{Service: "llm", Exclude: map[string]bool{first: true}})
+	}
+	second := acquire(2, true)
+	assert.NotEqual(t, first, second)
+	assert.Equal(t, first, acquire(3, false), "the one with less load")
+	assert.NotEmpty(t, acquire(4, true), "with no such target left, they share one")
+}
