core/placement: batch items run on targets with one slot

What callers saw: on targets that report one slot, no batch item was ever placed. Cause: one slot of each target is left free for online requests, which left none. Change: at least one slot remains for batch, for placing and for preemption alike; an online request still preempts the item.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		utilization := t.utilization(r)
-		if q.Batch && t.total(r.ID)+t.reserved(now, r.ID)+q.Spare >= slotsOf(r) {
+		if q.Batch && t.total(r.ID)+t.reserved(now, r.ID)+spareAt(r, q.Spare) >= slotsOf(r) {
 			continue
 		}
 		if q.MaxQueue > 0 && t.online(r.ID) >= slotsOf(r)+q.MaxQueue {
@@ -108,6 +108,10 @@
 	return t.ownLoads[id].Online + t.peerLoads[id].Online
 }
 
+// spareAt returns how many slots of a target batch items leave free: at least one
+// slot remains for them, since they yield to online requests anyway.
+func spareAt(r *roster.Record, wanted int) int { return min(wanted, slotsOf(r)-1) }
+
 func slotsOf(r *roster.Record) int {
 	if r.Slots > 0 {
 		return r.Slots
@@ -161,7 +165,7 @@
 		if r == nil || own.Batch == 0 {
 			continue
 		}
-		if over := t.total(id) + spare - slotsOf(r); over > 0 {
+		if over := t.total(id) + spareAt(r, spare) - slotsOf(r); over > 0 {
 			preemptions[id] = min(over, own.Batch)
 		}
 	}
