services/jobhost: only an answer 500 counts as a failed attempt of an item

What callers saw: an accepted item was listed as abandoned although no target had failed it max_attempts times. Cause: every status from 400 on but 429 and 503 counted, also 421 of a target that had started again under another id (a burst of restarts gives a sound item up after two) and statuses of something that is no engine. Change: 500 counts, 422 is final, all else runs again; after eight fruitless runs in a row the delay doubles, up to 5 s.

--- a/services/jobhost/progress.go
+++ b/services/jobhost/progress.go
@@ -8,11 +8,20 @@
 	"banyanwalk/services/targetcall"
 )
 
+const (
+	// fruitlessStep is the number of fruitless runs in a row after which the delay
+	// doubles: a burst of crashes may end several runs of a sound item.
+	fruitlessStep     = 8
+	maxRetryDoublings = 10
+	maxRetryDelay     = 5 * time.Second
+)
+
 // progress is the part of an item's response that this host has received.
 type progress struct {
 	notBefore time.Time     // earliest time of the next run
 	attempts  int           // failed attempts under this leader
 	runTime   time.Duration // total time of the runs so far
+	fruitless int           // runs in a row that yielded no event
 
 	mu         sync.Mutex
 	text       []byte
@@ -26,6 +35,17 @@
 	return &progress{text: []byte(logged.Text), lastEvent: logged.Last, savedEvent: logged.Last, savedBytes: len(logged.Text)}
 }
 
+// nextRetryDelay returns the delay after a run that started after the event
+// startEvent and broke off. It grows while runs yield nothing.
+func (p *progress) nextRetryDelay(startEvent int64) time.Duration {
+	if p.lastEventID() > startEvent {
+		p.fruitless = 0
+	}
+	delay := min(retryDelay<<min(p.fruitless/fruitlessStep, maxRetryDoublings), maxRetryDelay)
+	p.fruitless++
+	return delay
+}
+
 // appendEvent appends the event that follows the last one. It ignores repeated
 // events and fails if one is missing.
 func (p *progress) appendEvent(e *targetcall.Event) error {
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -40,9 +40,10 @@
 	cancel         context.CancelCauseFunc
 	tokens         int64
 	maxAttempts    int
-	loggedFailures int  // failed attempts that the replicated log holds
-	completed      bool // whether the complete response arrived
-	preempted      bool // whether it was cancelled for an online request; guarded by runner.mu
+	startEvent     int64 // last event of the item before this run
+	loggedFailures int   // failed attempts that the replicated log holds
+	completed      bool  // whether the complete response arrived
+	preempted      bool  // whether it was cancelled for an online request; guarded by runner.mu
 }
 
 // execute runs the item and records its result, or schedules it to run again.
@@ -50,6 +51,7 @@
 	defer i.cancel(nil)
 	r := i.runner
 	from := i.progress.lastEventID()
+	i.startEvent = from
 	i.request.LastEventID = from
 	if from > 0 {
 		r.resumed.Inc(1)
@@ -72,7 +74,7 @@
 	case status == http.StatusUnprocessableEntity:
 		r.abandon(i.ref, "the target rejected it for good")
 		r.finishRun(i, false)
-	case status >= http.StatusBadRequest && status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests:
+	case status == http.StatusInternalServerError:
 		i.recordFailure()
 	default:
 		i.retryElsewhere(err)
@@ -95,14 +97,15 @@
 }
 
 // retryElsewhere schedules the item to resume after its last event, and marks the
-// target as failed unless it was only busy.
+// target as failed unless it was only busy. This does not count as a failed attempt:
+// the item may be sound.
 func (i *itemRun) retryElsewhere(err error) {
 	r := i.runner
 	var failure *targetcall.Failure
 	if !errors.As(err, &failure) || !failure.IsBusy() {
 		r.follower.Targets.Failed(time.Now(), i.target.ID)
 	}
-	i.progress.notBefore = time.Now().Add(retryDelay)
+	i.progress.notBefore = time.Now().Add(i.progress.nextRetryDelay(i.startEvent))
 	r.finishRun(i, true)
 }
 
