Responses without end take bounded memory and are answered at once

Cause: the header of a response was read without any bound, stray bodies too, buffered bodies up to 32 MB each. Class: an input from outside read until its own end. Change: targetconn.Conn.ReadResponse, now the one reader of heads for gateways, storage hosts and agents, bounds the head with its interim responses (64 KB, 2 s from its first byte). Buffered bodies: 1 MB each, 16 MB together beyond the first 32 KB of each; events 256 KB (1 MB before); stray bodies 256 KB; a dropped body is drained for 50 ms at most; an item's text 1 MB; an agent's documents 8 MB (64 MB). Such a response counts as failed: the target is avoided and the request goes on elsewhere where it may.

--- a/infra/targetconn/pool.go
+++ b/infra/targetconn/pool.go
@@ -26,6 +26,7 @@
 type Conn struct {
 	net.Conn
 	Reader       *bufio.Reader
+	limit        *readLimit
 	Reused       bool      // it has carried an earlier request
 	idleDeadline time.Time // the target may close it after this time; zero: unknown
 }
@@ -66,7 +67,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return newConn(raw), nil
+}
+
+func newConn(raw net.Conn) *Conn {
+	limit := &readLimit{source: raw, left: unlimited}
+	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}
 }
 
 func (p *Pool) pop() *Conn {
--- a/services/agent/exchange.go
+++ b/services/agent/exchange.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -24,8 +23,8 @@
 	eventStreamType   = "text/event-stream"
 	userAgent         = "banyan-agent"
 	chunkBytes        = 64 << 10
-	maxDocumentBytes  = 64 << 20 // of a response that is buffered and verified before it is forwarded
-	minTimedTokens    = 4        // fewest streamed tokens from which a time per token is computed
+	maxDocumentBytes  = 8 << 20 // of a response that is buffered and verified before it is forwarded
+	minTimedTokens    = 4       // fewest streamed tokens from which a time per token is computed
 	serverErrorStatus = http.StatusInternalServerError
 )
 
@@ -50,7 +49,7 @@
 	// A failed write is not final: a target may respond and close the connection
 	// before it has read the whole request.
 	started := time.Now()
-	response, err := readFinalResponse(conn.Reader, request)
+	response, err := conn.ReadResponse(request)
 	if err != nil {
 		return connectionBroken(err)
 	}
@@ -72,19 +71,6 @@
 	return nil
 }
 
-// readFinalResponse reads a response and skips interim (1xx) ones.
-func readFinalResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(reader, request)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
-		}
-	}
-}
-
 func (x *execution) httpRequest() (*http.Request, error) {
 	requestURL, err := url.ParseRequestURI(x.open.Path)
 	if err != nil {
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -85,6 +85,7 @@
 	suspects     *suspects
 	crashes      *crashDetector
 	reporter     *crashReporter
+	bodies       bodyBudget
 }
 
 // New returns a gateway that is ready to serve.
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -24,8 +23,6 @@
 	// callerCheckInterval is how often to check whether the caller has
 	// disconnected.
 	callerCheckInterval = 200 * time.Millisecond
-	// maxResponseBytes bounds a response that is buffered as a whole.
-	maxResponseBytes = 32 << 20
 	// maxRefusals bounds how many targets may refuse one request.
 	maxRefusals = 6
 	// noTargetRetryAfter is the Retry-After of a request that no target could
@@ -111,8 +108,9 @@
 			f.startStream(ctx)
 			return nil
 		}
-		body, err := io.ReadAll(io.LimitReader(f.response, maxResponseBytes+1))
-		if err == nil && len(body) <= maxResponseBytes {
+		body, taken, err := f.server.bodies.read(f.response)
+		f.server.bodies.give(taken)
+		if err == nil {
 			if f.shouldRetryStatus(f.response.Status) {
 				f.tried[f.target.ID] = true
 				f.releaseTarget()
@@ -121,8 +119,8 @@
 			f.writeResponse(ctx, body)
 			return nil
 		}
-		f.recordFailure(&targetcall.Failure{Outcome: outcome.MayHaveRun, Status: f.response.Status, Reason: "response was cut off or too large",
-			Closed: err != nil && targetcall.IsClosed(err)})
+		f.recordFailure(&targetcall.Failure{Outcome: outcome.MayHaveRun, Status: f.response.Status, Reason: "body: " + err.Error(),
+			Closed: targetcall.IsClosed(err)})
 		if failure := f.checkRetry(outcome.MayHaveRun); failure != nil {
 			return failure
 		}
--- a/services/jobhost/progress.go
+++ b/services/jobhost/progress.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"banyanwalk/core/jobs"
 	"banyanwalk/services/targetcall"
 )
@@ -14,8 +16,13 @@
 	fruitlessStep     = 8
 	maxRetryDoublings = 10
 	maxRetryDelay     = 5 * time.Second
+	// maxTextBytes bounds the text of one item, also of one that a target sends
+	// without end.
+	maxTextBytes = 1 << 20
 )
 
+var errTextTooLong = errors.Newf("the text of the item exceeds %d bytes", maxTextBytes)
+
 // progress is the part of an item's response that this host has received.
 type progress struct {
 	notBefore time.Time     // earliest time of the next run
@@ -47,7 +54,8 @@
 }
 
 // appendEvent appends the event that follows the last one. It ignores repeated
-// events and fails if one is missing.
+// events and fails if one is missing. If the text gets too long, it is dropped: what
+// the target has sent is not the output of the item.
 func (p *progress) appendEvent(e *targetcall.Event) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -57,6 +65,10 @@
 	if e.ID != 0 && p.lastEvent != 0 && e.ID != p.lastEvent+1 {
 		return targetcall.ErrEventGap
 	}
+	if len(p.text)+len(e.Data) >= maxTextBytes {
+		p.text, p.lastEvent, p.savedEvent, p.savedBytes = nil, 0, 0, 0
+		return errTextTooLong
+	}
 	if p.lastEvent > 0 {
 		p.text = append(p.text, '\n')
 	}
--- a/services/jobhost/unlucky_item_test.go
+++ b/services/jobhost/unlucky_item_test.go
@@ -77,3 +77,16 @@
 	require.NoError(t, f.submit("job", 2))
 	assert.Len(t, f.waitForResults("job", 2), 2)
 }
+
+// A target that sends events without end does not fill the memory of the host, and
+// the item completes elsewhere.
+func TestItemOutlivesEventsWithoutEnd(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Events: 1 << 30})
+	require.NoError(t, f.submit("job", 1))
+	require.Eventually(t, func() bool {
+		runs := f.runs()
+		return len(runs) > 0 && runs[0].CallerClosed
+	}, eventuallyTimeout, time.Millisecond)
+	f.targets[0].SetBehaviour(func(string) standin.Behaviour { return standin.Behaviour{Events: 3} })
+	assert.Equal(t, expectedText("job-0", 3), f.waitForResults("job", 1)[0].Text)
+}
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -30,6 +30,11 @@
 	idleMargin = 400 * time.Millisecond
 	// maxStrayResponses bounds the responses to other requests that are skipped.
 	maxStrayResponses = 3
+	maxStrayBytes     = 256 << 10 // of the body of each of them
+	// maxDrainBytes and drainTimeout bound the reading of a body that is dropped, so
+	// that its connection can be used again.
+	maxDrainBytes = 4 << 10
+	drainTimeout  = 50 * time.Millisecond
 	// maxSyncWriteBytes is the size up to which a request is written completely
 	// before its response is read. Longer ones are written concurrently, since
 	// a target may respond before it has read them.
@@ -168,7 +173,7 @@
 		})
 	}
 	for range maxStrayResponses + 1 {
-		httpResponse, err := readFinalResponse(resp.conn, r.Method) //nolint:bodyclose // the body lives in the answer; Close ends its connection
+		httpResponse, err := resp.conn.ReadResponse(&http.Request{Method: r.Method}) //nolint:bodyclose // the body lives in the answer; Close ends its connection
 		if err != nil {
 			return transportFailure("read", err)
 		}
@@ -179,7 +184,7 @@
 			return nil
 		}
 		c.strayResponses.Inc(1)
-		if _, err := io.Copy(io.Discard, httpResponse.Body); err != nil || httpResponse.Close {
+		if n, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, maxStrayBytes)); err != nil || n == maxStrayBytes || httpResponse.Close {
 			return &Failure{Outcome: outcome.MayHaveRun, Reason: "response to another request"}
 		}
 	}
@@ -203,17 +208,6 @@
 	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, ErrTruncatedEvent, syscall.ECONNRESET, syscall.EPIPE)
 }
 
-// readFinalResponse reads the header of a response and skips interim (1xx) ones.
-func readFinalResponse(conn *targetconn.Conn, method string) (*http.Response, error) {
-	request := &http.Request{Method: method}
-	for {
-		response, err := http.ReadResponse(conn.Reader, request)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
-		}
-	}
-}
-
 // checkResponse returns the failure for a response that says that the request did
 // not run, or that lacks a target's signature.
 func (c *Client) checkResponse(resp *Response) error {
@@ -239,11 +233,13 @@
 
 // drain reads the rest of a short body, so that the connection can be reused.
 func (resp *Response) drain() {
+	if resp.conn.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+		return
+	}
 	_, _ = io.CopyN(io.Discard, resp, maxDrainBytes) // without io.EOF, Close closes the connection
+	_ = resp.conn.SetReadDeadline(time.Time{})       // fails only on a closed connection
 }
 
-const maxDrainBytes = 4 << 10
-
 // Close releases the connection. It returns to the pool if request and response
 // are complete, and is closed otherwise.
 func (resp *Response) Close() {
--- a/services/targetcall/events.go
+++ b/services/targetcall/events.go
@@ -9,7 +9,7 @@
 )
 
 // maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
 
 // errEventTooLong means that an event exceeds maxEventBytes.
 var errEventTooLong = errors.Newf("an event exceeds %d bytes", maxEventBytes)
