--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -144,7 +144,8 @@
 	}
 	run := t.recordRun(r, id)
 	if behaviour.Crash {
-		t.crash()
+		t.Crash()
+		panic(http.ErrAbortHandler)
 	}
 	if !behaviour.NoSignature {
 		w.Header().Set(t.headers.Signature, Signature(id))
@@ -160,9 +161,8 @@
 	fmt.Fprint(w, ResponseBody(id))
 }
 
-// crash closes the listener and all connections, as the end of a process does,
-// and aborts the calling handler.
-func (t *Target) crash() {
+// Crash closes the listener and all connections, as the end of a process does.
+func (t *Target) Crash() {
 	t.mu.Lock()
 	select {
 	case <-t.crashed:
@@ -171,7 +171,6 @@
 	}
 	t.mu.Unlock()
 	_ = t.server.Close() // the listener and all connections are closed even on an error
-	panic(http.ErrAbortHandler)
 }
 
 // Signature returns the signature of the response to a request.
--- a/tests/site/crashing_request_test.go
+++ b/tests/site/crashing_request_test.go
@@ -1,13 +1,17 @@
 package site
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -85,3 +89,99 @@
 		})
 	}
 }
+
+// What the site has learned of a request that crashes targets outlives the loss of
+// every process, of the control host that leads, and of a control host's disk.
+func TestVerdictIsForgottenWithProcesses(t *testing.T) {
+	s := startSite(t, 83)
+	targets := s.AddRestartingTargets(12, "llm", 8, crashByID)
+	t.Cleanup(targets.Stop)
+	for _, g := range s.Role(Gateway) {
+		awaitServed(t, s, g, "/ask/1", "first")
+	}
+	poison := func(g *Host, id string) Response {
+		return s.Send(t.Context(), g, http.MethodPost, "/card/x", id, []byte("ends the target"))
+	}
+	awaitRefused := func(step string) {
+		t.Helper()
+		for _, g := range s.Role(Gateway) {
+			awaitServed(t, s, g, "/ask/1", step)
+			require.Eventually(t, func() bool {
+				response := poison(g, "poison-"+step)
+				return response.Status == http.StatusServiceUnavailable && strings.Contains(response.Body, "306")
+			}, conditionTimeout, resendInterval, "%s: %s", step, g.Name)
+		}
+	}
+	poison(s.Role(Gateway)[0], "poison-first")
+	awaitRefused("learned")
+	runs := len(poisonRuns(t, targets))
+
+	for _, h := range s.Hosts {
+		h.Signal(syscall.SIGKILL)
+	}
+	for _, h := range s.Hosts {
+		h.Kill()
+		require.NoError(t, h.Start())
+	}
+	awaitRefused("all-killed")
+	for i, control := range s.Role(Control) {
+		control.Kill()
+		if i == 0 {
+			require.NoError(t, control.Wipe())
+		}
+		require.NoError(t, control.Start())
+		awaitRefused(control.Name)
+	}
+	after := len(poisonRuns(t, targets)) - runs
+	t.Logf("%d runs before the losses, %d after", runs, after)
+	assert.LessOrEqual(t, after, retriesAllowed)
+}
+
+// Targets crash in waves under sound requests, some of them with the same content
+// many times over. None is refused as a request that crashes targets.
+func TestBurstOfCrashesQuarantinesSoundRequests(t *testing.T) {
+	const count, waves, callers = 12, 5, 8
+	s := startSite(t, 84)
+	targets := s.AddRestartingTargets(count, "llm", 8, func(string) standin.Behaviour {
+		return standin.Behaviour{Events: 10, Pause: 10 * time.Millisecond}
+	})
+	t.Cleanup(targets.Stop)
+	for _, g := range s.Role(Gateway) {
+		awaitServed(t, s, g, "/ask/1", "first")
+	}
+	var sent, served, quarantined atomic.Int64
+	ctx, stop := context.WithCancel(t.Context())
+	var wg conc.WaitGroup
+	for caller := range callers {
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				body := "popular content"
+				if n%2 == 0 {
+					body = fmt.Sprintf("content %d of caller %d", n, caller)
+				}
+				kind := []string{"ask", "card", "once"}[n%3]
+				for attempt := range 2 { // as callers do: one retry
+					response := s.Send(t.Context(), s.Role(Gateway)[(caller+attempt)%2], http.MethodPost, "/"+kind+"/x", fmt.Sprintf("sound-%d-%d-%d", caller, n, attempt), []byte(body))
+					if strings.Contains(response.Body, "306") {
+						quarantined.Add(1)
+					}
+					if response.Status == http.StatusOK && response.Err == nil {
+						served.Add(1)
+						break
+					}
+				}
+				sent.Add(1)
+			}
+		})
+	}
+	for wave := range waves {
+		first := 4 * wave
+		targets.Crash(first%count, (first+1)%count, (first+2)%count, (first+3)%count)
+		time.Sleep(400 * time.Millisecond)
+	}
+	time.Sleep(contactTime)
+	stop()
+	wg.Wait()
+	t.Logf("%d sound requests, %d served, %d refused by mistake", sent.Load(), served.Load(), quarantined.Load())
+	assert.Zero(t, quarantined.Load())
+}
--- a/tests/site/restarts.go
+++ b/tests/site/restarts.go
@@ -27,6 +27,7 @@
 
 	mu     sync.Mutex
 	all    []*standin.Target // every incarnation
+	latest []*standin.Target // by number
 	errors []error           // of restarts
 }
 
@@ -34,7 +35,7 @@
 // id. Stop must be called before Close of the site.
 func (s *Site) AddRestartingTargets(count int, service string, slots int, behaviour func(id string) standin.Behaviour) *RestartingTargets {
 	ctx, stop := context.WithCancel(context.Background())
-	r := &RestartingTargets{site: s, service: service, slots: slots, behaviour: behaviour, stop: stop}
+	r := &RestartingTargets{site: s, service: service, slots: slots, behaviour: behaviour, stop: stop, latest: make([]*standin.Target, count)}
 	for i := range count {
 		r.wg.Go(func() { r.run(ctx, i) })
 	}
@@ -62,6 +63,7 @@
 		addr = target.Addr
 		r.mu.Lock()
 		r.all = append(r.all, target)
+		r.latest[number] = target
 		r.mu.Unlock()
 		reporter := r.site.addTarget(target, addr, r.service, r.slots)
 		select {
@@ -78,6 +80,17 @@
 	}
 }
 
+// Crash ends the targets with the given numbers, all at once.
+func (r *RestartingTargets) Crash(numbers ...int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, number := range numbers {
+		if target := r.latest[number]; target != nil {
+			target.Crash()
+		}
+	}
+}
+
 // Runs returns the runs at all incarnations, and the errors of restarts.
 func (r *RestartingTargets) Runs() ([]standin.Run, []error) {
 	r.mu.Lock()
