--- a/tests/site/site_test.go
+++ b/tests/site/site_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"banyanwalk/infra/rpc"
 	"banyanwalk/platform"
 	"banyanwalk/services/standin"
 )
@@ -235,3 +236,72 @@
 	require.NoError(t, err)
 	assert.Contains(t, string(version), "banyan-site-store")
 }
+
+// Right after a configuration and a job were acknowledged, one host that counts loses
+// its disk and every other process ends at the same moment, those that keep nothing
+// included. Nothing acknowledged is lost. (The power loss itself, which drops unsynced
+// writes, is tested in infra/wal and infra/durable.)
+func TestDiskLostWhileAllElseGoesDown(t *testing.T) {
+	for i, role := range []string{Control, Store} {
+		t.Run(role, func(t *testing.T) {
+			s := startSite(t, 75+i, standin.Behaviour{Events: 20, Pause: 5 * time.Millisecond})
+			gateway := s.Role(Gateway)[0]
+			awaitServed(t, s, gateway, "/ask/1", "first")
+			for round := range 3 {
+				version, body := s.NextConfiguration("llm")
+				ctx, cancel := context.WithTimeout(t.Context(), conditionTimeout)
+				require.NoError(t, s.PutConfiguration(ctx, body))
+				cancel()
+				job := fmt.Sprintf("job-%d", round)
+				require.Eventually(t, func() bool {
+					return s.Send(t.Context(), gateway, http.MethodPost, "/lots/x", job, batchBody(10, job)).Status == http.StatusAccepted
+				}, conditionTimeout, 50*time.Millisecond)
+				for _, h := range s.Hosts {
+					h.Signal(syscall.SIGKILL)
+				}
+				for _, h := range s.Hosts {
+					h.Kill()
+				}
+				require.NoError(t, s.Role(role)[round].Wipe())
+				require.NoError(t, s.Start())
+				awaitServed(t, s, gateway, fmt.Sprintf("/version-%d/x", version), job)
+				require.Eventually(t, func() bool {
+					status, read, err := s.CallControl(s.Role(Control)[round], http.MethodGet, "/v1/configuration/read", nil)
+					return err == nil && status == http.StatusOK && configurationVersion(read) == version
+				}, conditionTimeout, 50*time.Millisecond)
+				for n := range round + 1 {
+					awaitJobResults(t, s, gateway, fmt.Sprintf("job-%d", n), 10)
+				}
+				awaitDiskRecovered(t, s, role)
+			}
+		})
+	}
+}
+
+// awaitDiskRecovered waits until all hosts of a role that keeps data are voters with
+// the whole state, as each of them sees it.
+func awaitDiskRecovered(t *testing.T, s *Site, role string) {
+	t.Helper()
+	complete := func(r *rpc.ReplicaStatus) bool {
+		return len(r.Voters) == 3 && len(r.Learners) == 0 && !r.Changing && r.Applied > 0
+	}
+	for _, control := range s.Role(Control) {
+		addr := fmt.Sprintf("%s:%d", control.IP, firstWirePort)
+		require.Eventually(t, func() bool {
+			out, err := exec.Command(binaries+"/banyanctl", "site", "-control", addr, "-output", "json").CombinedOutput()
+			var status struct {
+				Site   rpc.SiteStatus
+				Stores []struct{ Status *rpc.JobsStatus }
+			}
+			if err != nil || json.Unmarshal(out, &status) != nil || len(status.Stores) != 3 {
+				return false
+			}
+			for _, store := range status.Stores {
+				if store.Status == nil || !complete(&store.Status.Replica) || !store.Status.ArchiveComplete {
+					return false
+				}
+			}
+			return complete(&status.Site.Replica)
+		}, conditionTimeout, 100*time.Millisecond, "%s: %s", role, control.Name)
+	}
+}
