services/jobhost: items are copied under the state's lock before they start

KNOWN-RED entry TestEndingJobCancelsItsItems: a data race between the end of a job, which drops the bodies, and the start of an item. Cause: runnableItems kept a pointer to the job and startItem read item and failures after the lock was released. Change: both are copied under the lock.

--- a/services/jobhost/jobhost_test.go
+++ b/services/jobhost/jobhost_test.go
@@ -325,3 +325,15 @@
 	assert.Equal(t, first, acquire(3, false), "the one with less load")
 	assert.NotEmpty(t, acquire(4, true), "with no such target left, they share one")
 }
+
+// Jobs end at the moment at which their items start. The end drops the bodies that the
+// start reads, so this fails under the race detector if they are not guarded.
+func TestJobEndsWhileItsItemsStart(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Events: 2}, standin.Behaviour{Events: 2})
+	for n := range 60 {
+		id := fmt.Sprint("j", n)
+		require.NoError(t, f.submit(id, 6))
+		_, err := f.host.end(t.Context(), &jobs.EndJob{Job: id, Workspace: "w"})
+		require.NoError(t, err)
+	}
+}
--- a/services/jobhost/schedule.go
+++ b/services/jobhost/schedule.go
@@ -11,9 +11,12 @@
 	"banyanwalk/services/targetcall"
 )
 
-// runnableItem is an item that may run now.
+// runnableItem is an item that may run now. It holds copies of what later commands
+// change; of job, only the fields of its specification may be read.
 type runnableItem struct {
 	job       *jobs.Job
+	item      jobs.Item
+	failures  int // failed attempts that the replicated log holds
 	firstSeen time.Time
 	partial   jobs.Partial // progress that the replicated log holds
 }
@@ -43,7 +46,7 @@
 					}
 					runTime = p.runTime
 				}
-				items[ref] = runnableItem{job: job, firstSeen: firstSeen[job.ID], partial: job.Partial[i]}
+				items[ref] = runnableItem{job: job, item: job.Items[i], failures: job.Failures[i], firstSeen: firstSeen[job.ID], partial: job.Partial[i]}
 				order = append(order, jobs.Candidate{Ref: ref, Due: due, Remaining: r.durations.Remaining(job.Items[i].Tokens, runTime)})
 			}
 		}
@@ -57,7 +60,7 @@
 // adds services without a spare slot to fullServices.
 func (r *runner) startItem(ctx context.Context, now time.Time, ref jobs.ItemRef, item runnableItem, fullServices map[string]bool) {
 	job := item.job
-	spec := &job.Items[ref.Item]
+	spec := &item.item
 	deadline := item.firstSeen.Add(time.Duration(job.MaxWaitMS)*time.Millisecond + maxWaitGrace)
 	if job.MaxWaitMS > 0 && now.After(deadline) {
 		r.abandon(ref, "its maximum wait is over")
@@ -94,7 +97,7 @@
 	delete(r.paused, ref)
 	runCtx, cancel := context.WithCancelCause(ctx)
 	started := &itemRun{runner: r, ref: ref, target: target, progress: itemProgress, startedAt: now, cancel: cancel,
-		request: r.targetRequest(job, spec, deadline), tokens: spec.Tokens, maxAttempts: job.MaxAttempts, loggedFailures: job.Failures[ref.Item]}
+		request: r.targetRequest(job, spec, deadline), tokens: spec.Tokens, maxAttempts: job.MaxAttempts, loggedFailures: item.failures}
 	r.running[ref] = started
 	r.mu.Unlock()
 	r.started.Inc(1)
