--- a/services/entry/endless_response_test.go
+++ b/services/entry/endless_response_test.go
@@ -33,10 +33,11 @@
 	serving  conc.WaitGroup
 }
 
-func startEndlessTarget(t *testing.T, start, filler string) *endlessTarget {
+// addEndlessTarget starts an endless target and adds it to the gateway's targets.
+func (f *fixture) addEndlessTarget(start, filler string, pause time.Duration) *endlessTarget {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	e := &endlessTarget{listener: l, start: start, filler: []byte(filler)}
+	require.NoError(f.t, err)
+	e := &endlessTarget{listener: l, start: start, filler: []byte(filler), pause: pause}
 	e.serving.Go(func() {
 		for {
 			conn, err := l.Accept()
@@ -46,10 +47,13 @@
 			e.serving.Go(func() { e.serve(conn) })
 		}
 	})
-	t.Cleanup(func() {
+	f.t.Cleanup(func() {
 		l.Close()
 		e.serving.Wait()
 	})
+	report := f.targets[0].Report("llm", "a", 8)
+	report.Report.ID, report.Report.Addr = "endless", l.Addr().String()
+	f.follower.ApplyPush(time.Now(), "test", &rpc.FollowPush{Targets: []rpc.TargetReport{report}})
 	return e
 }
 
@@ -98,10 +102,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, standin.Behaviour{Events: 3})
-			endless := startEndlessTarget(t, c.start, c.filler)
-			report := f.targets[0].Report("llm", "a", 8)
-			report.Report.ID, report.Report.Addr = "endless", endless.listener.Addr().String()
-			f.follower.ApplyPush(time.Now(), "test", &rpc.FollowPush{Targets: []rpc.TargetReport{report}})
+			endless := f.addEndlessTarget(c.start, c.filler, 0)
 			for endless.requests.Load() == 0 {
 				response, body, err := f.send("/resume/x", "a")
 				require.NoError(t, err)
@@ -127,11 +128,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, standin.Behaviour{Events: 3})
-			endless := startEndlessTarget(t, c.start, c.filler)
-			endless.pause = 5 * time.Millisecond
-			report := f.targets[0].Report("llm", "a", 8)
-			report.Report.ID, report.Report.Addr = "endless", endless.listener.Addr().String()
-			f.follower.ApplyPush(time.Now(), "test", &rpc.FollowPush{Targets: []rpc.TargetReport{report}})
+			endless := f.addEndlessTarget(c.start, c.filler, 5*time.Millisecond)
 			for endless.requests.Load() == 0 {
 				response, _, err := f.send("/safe/x", "a")
 				require.NoError(t, err)
