services/jobhost: TestItemOutlivesEventsWithoutEnd waits for the drop itself

The test took the first closed run for the dropped text. It now asks that the item starts again from the first event, and TestTooLongTextIsDropped holds the bound and the text after it without any timing: together as strict as before.

--- a/services/jobhost/unlucky_item_test.go
+++ b/services/jobhost/unlucky_item_test.go
@@ -1,6 +1,7 @@
 package jobhost
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"testing"
@@ -12,6 +13,7 @@
 	"banyanwalk/core/jobs"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/services/standin"
+	"banyanwalk/services/targetcall"
 )
 
 // acquireSlots acquires slots that are never released, as those of gateways that
@@ -78,15 +80,36 @@
 	assert.Len(t, f.waitForResults("job", 2), 2)
 }
 
-// A target that sends events without end does not fill the memory of the host, and
-// the item completes elsewhere.
+// A target that sends events without end does not fill the memory of the host: the
+// run ends, and the item starts again without the text.
 func TestItemOutlivesEventsWithoutEnd(t *testing.T) {
 	f := newFixture(t, standin.Behaviour{Events: 1 << 30})
 	require.NoError(t, f.submit("job", 1))
 	require.Eventually(t, func() bool {
 		runs := f.runs()
-		return len(runs) > 0 && runs[0].CallerClosed
+		for i := 1; i < len(runs); i++ {
+			if runs[i-1].CallerClosed && runs[i].LastEventID == 0 {
+				return true
+			}
+		}
+		return false
 	}, eventuallyTimeout, time.Millisecond)
-	f.targets[0].SetBehaviour(func(string) standin.Behaviour { return standin.Behaviour{Events: 3} })
-	assert.Equal(t, expectedText("job-0", 3), f.waitForResults("job", 1)[0].Text)
+}
+
+func TestTooLongTextIsDropped(t *testing.T) {
+	p := newProgress(jobs.Partial{Text: "one", Last: 1})
+	event := &targetcall.Event{Data: bytes.Repeat([]byte("x"), maxTextBytes/4)}
+	var err error
+	for event.ID = 2; err == nil; event.ID++ {
+		require.Less(t, event.ID, int64(10))
+		err = p.appendEvent(event)
+	}
+	require.ErrorIs(t, err, errTextTooLong)
+	assert.Zero(t, p.lastEventID())
+	require.NoError(t, p.appendEvent(&targetcall.Event{ID: 1, Data: []byte("one")}))
+	require.NoError(t, p.appendEvent(&targetcall.Event{ID: 2, Data: []byte("two")}))
+	assert.Equal(t, "one\ntwo", p.fullText())
+	unsaved, ok := p.takeUnsaved(jobs.ItemRef{})
+	assert.True(t, ok)
+	assert.Equal(t, jobs.Progress{Last: 2, Text: "one\ntwo"}, unsaved)
 }
