--- a/cmd/banyan-site-gateway/main.go
+++ b/cmd/banyan-site-gateway/main.go
@@ -35,6 +35,7 @@
 		Follower:         follower,
 		HeaderNames:      platform.HeaderNames(),
 		Jobs:             platform.JobCalls{},
+		PromptParts:      platform.SharedPromptParts,
 		Log:              p.Log,
 		Metrics:          p.Metrics,
 		Grace:            p.Settings.ShutdownGrace,
--- a/services/entry/crash_detector.go
+++ b/services/entry/crash_detector.go
@@ -28,7 +28,8 @@
 // brokenRun is a run whose connection the target closed before the end of the
 // response.
 type brokenRun struct {
-	request string // id
+	request string   // id
+	parts   []string // ids of the parts of the prompt that other requests may share
 	run     quarantine.Run
 	target  *roster.Record
 	at      time.Time
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -58,6 +58,9 @@
 	Follower    *follow.Follower
 	HeaderNames targetcall.HeaderNames
 	Jobs        JobCodec
+	// PromptParts returns the ids of the parts of a request's prompt that other
+	// requests may share, in order; nil: requests name no parts.
+	PromptParts func(*fasthttp.RequestHeader) []string
 	Log         *telemetry.Log
 	Metrics     metrics.Registry
 	Grace       time.Duration // from the shutdown signal until the process must have exited
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -283,7 +283,7 @@
 	f.releaseTarget()
 	if failure.Closed && failure.Outcome != outcome.NotRun && f.ctx.Err() == nil {
 		run := quarantine.Run{Ref: f.contentRef(), KnownCrashes: f.knownCrashes}
-		s.crashes.connectionClosed(f.ctx, &brokenRun{request: f.call.id, run: run, target: target, at: time.Now()})
+		s.crashes.connectionClosed(f.ctx, &brokenRun{request: f.call.id, parts: f.call.parts, run: run, target: target, at: time.Now()})
 	}
 }
 
--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -34,7 +34,8 @@
 	route     *routing.Route
 	workspace *routing.Workspace // nil on public routes
 	table     *routing.Table
-	isRetry   bool // the caller has used up part of its time, so it was refused before
+	parts     []string // ids of the parts of the prompt that other requests may share
+	isRetry   bool     // the caller has used up part of its time, so it was refused before
 }
 
 func (c *call) workspaceName() string {
@@ -100,6 +101,9 @@
 		return c, err
 	}
 	c.deadline = s.deadline(ctx, c)
+	if s.cfg.PromptParts != nil {
+		c.parts = s.cfg.PromptParts(&ctx.Request.Header)
+	}
 	c.isRetry = c.deadline.Sub(c.started) < c.route.Timeout-retryMargin
 	return c, nil
 }
--- a/services/entry/suspects.go
+++ b/services/entry/suspects.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,7 +92,8 @@
 	s.crashes.Inc(1)
 	s.reporter.add(&catalog.CrashReport{Crash: crash, Runs: []quarantine.Run{b.run}}, nil)
 	known := s.lookup(b.run.Ref)
-	s.log.Warn("target_crashed", "request", b.request, "digest", b.run.Digest.String(), "workspace", b.run.Workspace, "target", b.target.ID,
+	s.log.Warn("target_crashed", "request", b.request, "digest", b.run.Digest.String(), "workspace", b.run.Workspace,
+		"parts", strings.Join(b.parts, ","), "target", b.target.ID,
 		"target_incarnation", b.target.Incarnation, "evidence", evidence, "crashes", known.crashes, "suspicion", known.level.String(),
 		"after_ms", time.Since(b.at).Milliseconds())
 }
