--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -32,6 +32,7 @@
 	Pause         time.Duration // between two events, and before a plain response
 	StrayResponse bool          // send a response to another request first
 	Crash         bool          // end the target as soon as it runs the request
+	CrashInAnswer bool          // end the target once the response has begun, within its first event or its body
 }
 
 // Run records one request that a stub target started to run.
@@ -150,6 +151,9 @@
 	if !behaviour.NoSignature {
 		w.Header().Set(t.headers.Signature, Signature(id))
 	}
+	if behaviour.CrashInAnswer {
+		t.crashInAnswer(w, r, behaviour)
+	}
 	if behaviour.Events > 0 {
 		t.serveStream(w, r, behaviour, run)
 		return
@@ -173,6 +177,18 @@
 	_ = t.server.Close() // the listener and all connections are closed even on an error
 }
 
+// crashInAnswer begins a response and ends the target after the pause.
+func (t *Target) crashInAnswer(w http.ResponseWriter, r *http.Request, b Behaviour) {
+	if b.Events > 0 {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	fmt.Fprint(w, "id: 1\nda")
+	_ = http.NewResponseController(w).Flush() // the crash closes the connection in any case
+	pause.For(r.Context(), b.Pause)
+	t.Crash()
+	panic(http.ErrAbortHandler)
+}
+
 // Signature returns the signature of the response to a request.
 func Signature(id string) string { return "signed-" + id }
 
--- /dev/null
+++ b/tests/site/crashing_part_test.go
@@ -0,0 +1,201 @@
+package site
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"banyanwalk/services/standin"
+)
+
+const (
+	promptHeader = "X-Banyanwalk-Prompt-Prefix"
+	// partCrashesAllowed and partRunsAllowed bound the runs of requests with a part
+	// that crashes targets: partCrashesAllowed targets at any time, partRunsAllowed
+	// runs once contactTime has passed after the last of these.
+	partCrashesAllowed = 5
+	partRunsAllowed    = 3
+	// minSoundShare is the least share of sound requests, of those answered in calm,
+	// that are still answered at the first attempt from 2*contactTime after that.
+	minSoundShare = 0.5
+	// minSoundRequests is the number of sound requests from which on their share
+	// counts.
+	minSoundRequests = 20
+)
+
+// badPart is a prompt part that crashes each target that begins to answer a
+// request with it, in requests whose id starts with "bad".
+const badPart = "bad0"
+
+// crashInAnswerByID crashes the target for requests whose id starts with "bad".
+// Requests whose id ends with "card" get a plain response, others a stream.
+func crashInAnswerByID(id string) standin.Behaviour {
+	b := standin.Behaviour{Events: 5, Pause: 10 * time.Millisecond}
+	if strings.HasSuffix(id, "card") {
+		b = standin.Behaviour{Pause: 50 * time.Millisecond}
+	}
+	if strings.HasPrefix(id, "bad") {
+		b.Pause, b.CrashInAnswer = 30*time.Millisecond, true
+	}
+	return b
+}
+
+// prompt returns the header that lists the parts of a prompt.
+func prompt(parts ...string) map[string]string {
+	return map[string]string{promptHeader: strings.Join(parts, ":100,") + ":20"}
+}
+
+// partTraffic sends bad and sound requests side by side and records how the sound
+// ones fared.
+type partTraffic struct {
+	site     *Site
+	kind     string        // of the route
+	interval time.Duration // between two bad requests
+	bad      func(n int) []string
+	sound    func(n int) []string
+
+	mu    sync.Mutex
+	sent  []time.Time // of sound requests, in any order
+	begun []time.Time // those of them that were answered at the first attempt
+}
+
+// run sends one bad and one sound request per interval for a time.
+func (p *partTraffic) run(t *testing.T, duration time.Duration) {
+	t.Helper()
+	var wg conc.WaitGroup
+	gateways := p.site.Role(Gateway)
+	ticker := time.NewTicker(p.interval)
+	defer ticker.Stop()
+	for n, started := 0, time.Now(); time.Since(started) < duration; n++ {
+		wg.Go(func() {
+			response := p.site.SendWithHeader(t.Context(), gateways[n%len(gateways)], http.MethodPost, "/"+p.kind+"/x", fmt.Sprintf("bad-%d-%s", n, p.kind),
+				fmt.Appendf(nil, "bad body %d", n), prompt(p.bad(n)...))
+			assert.False(t, response.Status == http.StatusOK && response.Err == nil, "no target answers a bad request")
+		})
+		wg.Go(func() {
+			at := time.Now()
+			response := p.site.SendWithHeader(t.Context(), gateways[(n/2)%len(gateways)], http.MethodPost, "/"+p.kind+"/x", fmt.Sprintf("sound-%d-%s", n, p.kind),
+				fmt.Appendf(nil, "sound body %d", n), prompt(p.sound(n)...))
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.sent = append(p.sent, at)
+			if response.Status == http.StatusOK {
+				p.begun = append(p.begun, at)
+			}
+		})
+		<-ticker.C
+	}
+	wg.Wait()
+}
+
+// soundShare returns how many sound requests were sent after a time, and the share
+// of them that was answered at the first attempt.
+func (p *partTraffic) soundShare(after time.Time) (sent int, share float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := func(times []time.Time) (n int) {
+		for _, at := range times {
+			if at.After(after) {
+				n++
+			}
+		}
+		return n
+	}
+	sent = count(p.sent)
+	return sent, float64(count(p.begun)) / float64(max(1, sent))
+}
+
+// badRuns returns the runs of bad requests, oldest first, and the time of the last
+// crash that is allowed at any time, or the zero time if there were fewer.
+func badRuns(t *testing.T, targets *RestartingTargets) (runs []standin.Run, lastAllowed time.Time) {
+	t.Helper()
+	runs, errs := targets.Runs()
+	require.Empty(t, errs)
+	runs = slices.DeleteFunc(runs, func(r standin.Run) bool { return !strings.HasPrefix(r.ID, "bad") })
+	slices.SortFunc(runs, func(a, b standin.Run) int { return cmp.Compare(a.StartedAt.UnixNano(), b.StartedAt.UnixNano()) })
+	ended := make(map[string]bool)
+	for _, r := range runs {
+		if ended[r.Target] = true; len(ended) == partCrashesAllowed && lastAllowed.IsZero() {
+			lastAllowed = r.StartedAt
+		}
+	}
+	return runs, lastAllowed
+}
+
+// check asserts that few bad requests reached targets and that sound ones were
+// answered.
+func (p *partTraffic) check(t *testing.T, targets *RestartingTargets) {
+	t.Helper()
+	runs, lastAllowed := badRuns(t, targets)
+	require.NotEmpty(t, runs)
+	ended := make(map[string]bool)
+	late := 0
+	for _, r := range runs {
+		ended[r.Target] = true
+		if !lastAllowed.IsZero() && r.StartedAt.Sub(lastAllowed) > contactTime {
+			late++
+		}
+	}
+	if lastAllowed.IsZero() {
+		lastAllowed = runs[len(runs)-1].StartedAt
+	}
+	all, shareOfAll := p.soundShare(time.Time{})
+	sent, share := p.soundShare(lastAllowed.Add(2 * contactTime))
+	t.Logf("%s, every %v: %d bad runs, %d of them late, %d targets ended; sound requests answered at the first attempt: %.2f of %d, at the end %.2f of %d",
+		p.kind, p.interval, len(runs), late, len(ended), shareOfAll, all, share, sent)
+	assert.LessOrEqual(t, late, partRunsAllowed, "BUDGET")
+	require.GreaterOrEqual(t, sent, minSoundRequests)
+	assert.GreaterOrEqual(t, share, minSoundShare, "LOST")
+}
+
+// sharedPartsTraffic is traffic whose bad and sound requests share all parts but
+// the bad one, which stands second or third.
+func sharedPartsTraffic(s *Site, kind string, interval time.Duration) *partTraffic {
+	session := func(n int) string { return fmt.Sprintf("5e55%d", n%3) }
+	return &partTraffic{
+		site: s, kind: kind, interval: interval,
+		bad: func(n int) []string {
+			if n%2 == 0 {
+				return []string{"c0", badPart, fmt.Sprintf("b%d", n)}
+			}
+			return []string{"c0", session(n), badPart, fmt.Sprintf("b%d", n)}
+		},
+		sound: func(n int) []string {
+			if n%2 == 0 {
+				return []string{"c0", fmt.Sprintf("a%d", n)}
+			}
+			return []string{"c0", session(n), fmt.Sprintf("a%d", n)}
+		},
+	}
+}
+
+// Incident BUDGET: requests with one bad part in their prompts, no two alike,
+// crashed one target after another, because only whole requests were counted.
+func TestPromptPartCrashesTargetAfterTarget(t *testing.T) {
+	network := 90
+	for _, kind := range []string{"ask", "card", "once"} {
+		for _, interval := range []time.Duration{200 * time.Millisecond, 40 * time.Millisecond} {
+			network++
+			t.Run(fmt.Sprintf("%s/%v", kind, interval), func(t *testing.T) {
+				s := startSite(t, network)
+				targets := s.AddRestartingTargets(16, "llm", 8, crashInAnswerByID)
+				t.Cleanup(targets.Stop)
+				for _, g := range s.Role(Gateway) {
+					awaitServed(t, s, g, "/ask/1", "first")
+				}
+				traffic := sharedPartsTraffic(s, kind, interval)
+				traffic.run(t, 5*contactTime)
+				traffic.check(t, targets)
+			})
+		}
+	}
+}
--- a/tests/site/harness.go
+++ b/tests/site/harness.go
@@ -252,6 +252,11 @@
 
 // Send sends a caller's request with a request id to a gateway, without retries.
 func (s *Site) Send(ctx context.Context, gateway *Host, method, path, id string, body []byte) Response {
+	return s.SendWithHeader(ctx, gateway, method, path, id, body, nil)
+}
+
+// SendWithHeader is Send with further request headers.
+func (s *Site) SendWithHeader(ctx context.Context, gateway *Host, method, path, id string, body []byte, header map[string]string) Response {
 	request, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", gateway.IP, frontendPort, path), bytes.NewReader(body))
 	if err != nil {
 		return Response{Err: err}
@@ -261,6 +266,9 @@
 	request.Header.Set(headers.RequestID, id)
 	request.Header.Set(headers.Key, "k1")
 	request.Header.Set(headers.Deadline, "5000")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
 	response, err := s.client.Transport.RoundTrip(request)
 	if err != nil {
 		return Response{Err: err}
