--- a/services/jobhost/jobhost_test.go
+++ b/services/jobhost/jobhost_test.go
@@ -182,6 +182,26 @@
 // A target that stops sending events without closing the connection must not block
 // its item forever (urbpadoms-grown mix, seed 227420791981: an item never
 // finished).
+// A stream without a length or chunks ends with its connection; one that ends
+// inside an event has been broken off, and the item resumes after the last whole one.
+func TestItemOfUnframedStream(t *testing.T) {
+	for _, b := range []standin.Behaviour{
+		{Unframed: true, Events: 6},
+		{Unframed: true, Events: 6, BreakAfter: 2, TruncateEvent: true},
+		{Unframed: true, Events: 6, BreakAfter: 2, Reset: true, Pause: 20 * time.Millisecond},
+	} {
+		f := newFixture(t, b)
+		require.NoError(t, f.submit("job", 1))
+		if b.BreakAfter > 0 {
+			require.Eventually(t, func() bool { return len(f.runs()) > 0 }, eventuallyTimeout, time.Millisecond)
+			f.targets[0].SetBehaviour(func(string) standin.Behaviour { return standin.Behaviour{Unframed: true, Events: 6} })
+		}
+		result := f.waitForResults("job", 1)[0]
+		assert.Equal(t, jobs.Completed, result.State)
+		assert.Equal(t, expectedText(result.Item, 6), result.Text)
+	}
+}
+
 func TestItemMovesOffSilentTarget(t *testing.T) {
 	f := newFixture(t, standin.Behaviour{Events: 30, HangAfter: 5}, standin.Behaviour{Events: 30, HangAfter: 28})
 	require.NoError(t, f.submit("j", 1))
--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -28,6 +28,8 @@
 	BreakAfter    int           // close the connection after this many events; 0: never
 	TruncateEvent bool          // with BreakAfter: close it in the middle of the next event
 	HangAfter     int           // stall after this many events until the caller disconnects; 0: never
+	Unframed      bool          // send neither a length nor chunks: the end of the connection ends the response
+	Reset         bool          // with Unframed: reset the connection at the end instead of closing it
 	NoSignature   bool          // omit the signature header
 	Pause         time.Duration // between two events, and before a plain response
 	StrayResponse bool          // send a response to another request first
@@ -151,6 +153,10 @@
 	if !behaviour.NoSignature {
 		w.Header().Set(t.headers.Signature, Signature(id))
 	}
+	if behaviour.Unframed {
+		t.serveUnframed(w, behaviour, run)
+		return
+	}
 	if behaviour.CrashInAnswer {
 		t.crashInAnswer(w, r, behaviour)
 	}
@@ -265,3 +271,35 @@
 	}
 	panic(http.ErrAbortHandler)
 }
+
+// serveUnframed writes a response without a length or chunks and closes the
+// connection.
+func (t *Target) serveUnframed(w http.ResponseWriter, b Behaviour, run *Run) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	contentType := "text/plain"
+	if b.Events > 0 {
+		contentType = "text/event-stream"
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: %s\r\n\r\n",
+		t.headers.RequestID, run.ID, t.headers.Signature, Signature(run.ID), contentType)
+	if b.Events == 0 {
+		fmt.Fprint(conn, ResponseBody(run.ID))
+	}
+	for n := run.LastEventID + 1; n <= int64(b.Events); n++ {
+		if b.BreakAfter > 0 && n-run.LastEventID > int64(b.BreakAfter) {
+			if b.TruncateEvent {
+				fmt.Fprintf(conn, "id: %d\nda", n)
+			}
+			break
+		}
+		fmt.Fprintf(conn, "id: %d\ndata: %s\n\n", n, EventData(run.ID, n))
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok && b.Reset {
+		time.Sleep(b.Pause)  // what was sent before is to arrive
+		_ = tcp.SetLinger(0) // fails only on a connection that is closed already
+	}
+}
