services/jobhost: items whose prompt has a quarantined part run now and then only

What callers would see: an item whose prompt holds a part that crashes targets was sent on every 300 ms to 5 s, a target each time, until its longest wait.

Cause: the storage host's runner asks for no verdicts: items are never convicted, by the users' word. The word is about items that crash by themselves; a part convicted by online requests was not considered.

Change: the items are held.

--- a/cmd/banyan-site-store/main.go
+++ b/cmd/banyan-site-store/main.go
@@ -42,6 +42,7 @@
 		DataDir:      p.Settings.DataDir,
 		JobRetention: p.Settings.JobRetention + jobRetentionMargin,
 		HeaderNames:  platform.HeaderNames(),
+		PromptParts:  platform.ItemPromptParts,
 		Log:          p.Log,
 		Metrics:      p.Metrics,
 	})
--- a/core/auth/digest.go
+++ b/core/auth/digest.go
@@ -19,14 +19,18 @@
 	return digest
 }
 
-// PromptPartDigest identifies a part of a prompt by workspace and id.
-func PromptPartDigest(workspace, id string) quarantine.Digest {
-	h := sha256.New()
-	writeLengthPrefixed(h, []byte(workspace))
-	writeLengthPrefixed(h, []byte(id))
-	var digest quarantine.Digest
-	copy(digest[:], h.Sum(nil))
-	return digest
+// PromptPartRefs identifies parts of a workspace's prompts by their ids.
+func PromptPartRefs(workspace string, ids []string) []quarantine.Ref {
+	refs := make([]quarantine.Ref, 0, len(ids))
+	for _, id := range ids {
+		h := sha256.New()
+		writeLengthPrefixed(h, []byte(workspace))
+		writeLengthPrefixed(h, []byte(id))
+		ref := quarantine.Ref{Workspace: workspace, Kind: quarantine.PromptPart}
+		copy(ref.Digest[:], h.Sum(nil))
+		refs = append(refs, ref)
+	}
+	return refs
 }
 
 type writer interface{ Write([]byte) (int, error) }
--- a/services/entry/crash_reporter.go
+++ b/services/crashreport/reporter.go
@@ -1,4 +1,6 @@
-package entry
+// Package crashreport tells the control hosts of a site which requests may have
+// crashed targets, and which suspects ran to a complete response.
+package crashreport
 
 import (
 	"context"
@@ -27,8 +29,8 @@
 	reportExpiry = 30 * time.Second
 )
 
-// crashReporter reports requests that may crash targets to the control hosts.
-type crashReporter struct {
+// Reporter queues reports and sends them. It is safe for concurrent use.
+type Reporter struct {
 	follower *follow.Follower
 	pool     *wire.Pool
 	log      *telemetry.Log
@@ -42,25 +44,30 @@
 	completed []quarantine.Ref
 }
 
-func newCrashReporter(f *follow.Follower, log *telemetry.Log, registry metrics.Registry) *crashReporter {
-	return &crashReporter{
-		follower: f, pool: wire.NewPool(nil), log: log, queue: make(chan runsReport, reportQueue),
-		dropped: metrics.GetOrRegisterCounter("entry.crash_reports.dropped", registry),
-	}
+// New returns a reporter that queues reports until Run. dropped counts the reports
+// that found the queue full.
+func New(f *follow.Follower, log *telemetry.Log, dropped metrics.Counter) *Reporter {
+	return &Reporter{follower: f, pool: wire.NewPool(nil), log: log, queue: make(chan runsReport, reportQueue), dropped: dropped}
 }
 
+// Crashed queues a report on runs that ended with the crash of their target.
+func (r *Reporter) Crashed(report *catalog.CrashReport) { r.add(runsReport{crash: report}) }
+
+// Completed queues a report on suspects that ran to a complete response.
+func (r *Reporter) Completed(refs []quarantine.Ref) { r.add(runsReport{completed: refs}) }
+
 // add queues a report. It never blocks; if the queue is full, it drops the report
 // and counts it.
-func (r *crashReporter) add(crash *catalog.CrashReport, completed []quarantine.Ref) {
+func (r *Reporter) add(report runsReport) {
 	select {
-	case r.queue <- runsReport{crash: crash, completed: completed}:
+	case r.queue <- report:
 	default:
 		r.dropped.Inc(1)
 	}
 }
 
-// run sends queued reports until ctx ends.
-func (r *crashReporter) run(ctx context.Context) {
+// Run sends queued reports until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
 	defer r.pool.Close()
 	for {
 		select {
@@ -73,8 +80,18 @@
 	}
 }
 
+// Take removes the queued reports and returns them joined, or nil if there are none.
+func (r *Reporter) Take() *rpc.RunsReport {
+	select {
+	case first := <-r.queue:
+		return r.collect(first)
+	default:
+		return nil
+	}
+}
+
 // collect joins the queued reports, those of one crash in one entry.
-func (r *crashReporter) collect(next runsReport) *rpc.RunsReport {
+func (r *Reporter) collect(next runsReport) *rpc.RunsReport {
 	report := &rpc.RunsReport{Member: r.follower.Name()}
 	positions := make(map[quarantine.Crash]int)
 	for {
@@ -97,7 +114,7 @@
 }
 
 // send sends a report to one control host after another until one has logged it.
-func (r *crashReporter) send(ctx context.Context, report *rpc.RunsReport) {
+func (r *Reporter) send(ctx context.Context, report *rpc.RunsReport) {
 	ctx, cancel := context.WithTimeout(ctx, reportExpiry)
 	defer cancel()
 	for {
@@ -112,7 +129,7 @@
 	}
 }
 
-func (r *crashReporter) sendOnce(ctx context.Context, report *rpc.RunsReport) error {
+func (r *Reporter) sendOnce(ctx context.Context, report *rpc.RunsReport) error {
 	err := error(outcome.New(outcome.Unreachable, outcome.NotRun, "no control host is known"))
 	for _, host := range r.follower.ControlHosts() {
 		bounded, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"banyanwalk/infra/telemetry"
+	"banyanwalk/services/crashreport"
 	"banyanwalk/services/follow"
 	"banyanwalk/services/targetcall"
 )
@@ -87,7 +88,7 @@
 	slots        *slots
 	suspects     *suspects
 	crashes      *crashDetector
-	reporter     *crashReporter
+	reporter     *crashreport.Reporter
 	bodies       bodyBudget
 }
 
@@ -106,7 +107,7 @@
 	}
 	s.preemptions = newPreemptions(s.jobs)
 	s.slots = newSlots(cfg.Follower, s.jobs)
-	s.reporter = newCrashReporter(cfg.Follower, cfg.Log, cfg.Metrics)
+	s.reporter = crashreport.New(cfg.Follower, cfg.Log, metrics.GetOrRegisterCounter("entry.crash_reports.dropped", cfg.Metrics))
 	s.suspects = newSuspects(cfg.Follower, s.reporter, cfg.Log, cfg.Metrics)
 	s.crashes = newCrashDetector(cfg.Follower, s.suspects.crashed)
 	return s
@@ -152,7 +153,7 @@
 	serveEnded := make(chan struct{})
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	for _, task := range []func(context.Context){s.preemptions.run, s.slots.sendReleases, s.crashes.run, s.reporter.run} {
+	for _, task := range []func(context.Context){s.preemptions.run, s.slots.sendReleases, s.crashes.run, s.reporter.Run} {
 		p.Go(func() error {
 			task(background)
 			return nil
--- a/services/entry/prompt_parts_test.go
+++ b/services/entry/prompt_parts_test.go
@@ -12,8 +12,10 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"banyanwalk/core/auth"
 	"banyanwalk/core/quarantine"
 	"banyanwalk/infra/telemetry"
+	"banyanwalk/services/crashreport"
 	"banyanwalk/services/standin"
 )
 
@@ -23,7 +25,7 @@
 	c.PromptParts = func(h *fasthttp.RequestHeader) []string { return strings.Split(string(h.Peek(partsHeader)), ",") }
 }
 
-func partRef(id string) quarantine.Ref { return partRefs("w1", []string{id})[0] }
+func partRef(id string) quarantine.Ref { return auth.PromptPartRefs("w1", []string{id})[0] }
 
 func partVerdict(id string, level quarantine.Suspicion, crashes int, revision uint64) quarantine.Verdict {
 	return quarantine.Verdict{Workspace: "w1", Digest: partRef(id).Digest, Kind: quarantine.PromptPart, Level: level, Crashes: crashes, Revision: revision}
@@ -31,8 +33,8 @@
 
 // holdReports gives the gateway a reporter that is not running: reports stay in its
 // queue.
-func (f *fixture) holdReports() *crashReporter {
-	reporter := newCrashReporter(f.follower, telemetry.Discard(), metrics.NewRegistry())
+func (f *fixture) holdReports() *crashreport.Reporter {
+	reporter := crashreport.New(f.follower, telemetry.Discard(), metrics.NewCounter())
 	f.gateway.suspects.reporter = reporter
 	return reporter
 }
@@ -106,20 +108,21 @@
 	reporter := f.holdReports()
 	_, _, err := f.send("/safe/x", "first", partsHeader, "common")
 	require.NoError(t, err)
-	require.Empty(t, reporter.queue)
+	require.Nil(t, reporter.Take())
 	f.targets[0].SetBehaviour(func(string) standin.Behaviour { return standin.Behaviour{CrashInAnswer: true} })
 	_, _, _ = f.send("/once/x", "second", partsHeader, "common,other") // the target breaks off
-	require.Len(t, reporter.queue, 1)
-	report := reporter.collect(<-reporter.queue)
+	report := reporter.Take()
+	require.NotNil(t, report)
 	require.Len(t, report.Crashes, 1)
 	require.Len(t, report.Crashes[0].Runs, 1)
 	assert.Equal(t, []quarantine.RunPart{{Digest: partRef("other").Digest}}, report.Crashes[0].Runs[0].Parts)
 
 	f.applyVerdicts(partVerdict("common", quarantine.Quarantined, 3, 5))
-	known := f.gateway.suspects.assess(&subjects{parts: partRefs("w1", []string{"common"})})
+	known := f.gateway.suspects.assess(&subjects{parts: auth.PromptPartRefs("w1", []string{"common"})})
 	assert.False(t, known.quarantined)
-	require.Len(t, reporter.queue, 1)
-	assert.Equal(t, []quarantine.Ref{partRef("common")}, reporter.collect(<-reporter.queue).Completed)
+	report = reporter.Take()
+	require.NotNil(t, report)
+	assert.Equal(t, []quarantine.Ref{partRef("common")}, report.Completed)
 }
 
 // A request with a part that probably crashes targets is not sent to a second one.
@@ -138,13 +141,13 @@
 	var parts innocentParts
 	now := time.Now()
 	for n := range 2 * maxInnocentParts {
-		parts.add(now, partRefs("w1", []string{fmt.Sprint(n)}))
+		parts.add(now, auth.PromptPartRefs("w1", []string{fmt.Sprint(n)}))
 	}
 	assert.Len(t, parts.current["w1"], maxInnocentParts)
-	parts.add(now, partRefs("w2", []string{"1"}))
-	assert.True(t, parts.has(partRefs("w2", []string{"1"})[0]), "another workspace does not take its room")
+	parts.add(now, auth.PromptPartRefs("w2", []string{"1"}))
+	assert.True(t, parts.has(auth.PromptPartRefs("w2", []string{"1"})[0]), "another workspace does not take its room")
 	for n := range 2 * maxInnocentWorkspaces {
-		parts.add(now, partRefs(fmt.Sprint("workspace", n), []string{"1"}))
+		parts.add(now, auth.PromptPartRefs(fmt.Sprint("workspace", n), []string{"1"}))
 	}
 	assert.Len(t, parts.current, maxInnocentWorkspaces)
 	assert.True(t, parts.has(partRef("1")))
--- a/services/entry/suspects.go
+++ b/services/entry/suspects.go
@@ -11,6 +11,7 @@
 	"banyanwalk/core/catalog"
 	"banyanwalk/core/quarantine"
 	"banyanwalk/infra/telemetry"
+	"banyanwalk/services/crashreport"
 	"banyanwalk/services/follow"
 )
 
@@ -23,7 +24,7 @@
 // safe for concurrent use.
 type suspects struct {
 	follower *follow.Follower
-	reporter *crashReporter
+	reporter *crashreport.Reporter
 	log      *telemetry.Log
 	crashes  metrics.Counter
 	started  time.Time
@@ -50,7 +51,7 @@
 	return &quarantine.Verdict{Workspace: of.Workspace, Digest: of.Digest, Kind: of.Kind, Level: s.level, Crashes: s.crashes, With: s.with}
 }
 
-func newSuspects(f *follow.Follower, reporter *crashReporter, log *telemetry.Log, registry metrics.Registry) *suspects {
+func newSuspects(f *follow.Follower, reporter *crashreport.Reporter, log *telemetry.Log, registry metrics.Registry) *suspects {
 	return &suspects{
 		follower: f, reporter: reporter, log: log, started: time.Now(), local: quarantine.NewVerdicts(),
 		crashes: metrics.GetOrRegisterCounter("entry.targets.crashed", registry),
@@ -103,7 +104,7 @@
 	s.localCount.Store(int64(s.local.Len()))
 	s.mu.Unlock()
 	s.crashes.Inc(1)
-	s.reporter.add(&catalog.CrashReport{Crash: crash, Runs: []quarantine.Run{b.run}}, nil)
+	s.reporter.Crashed(&catalog.CrashReport{Crash: crash, Runs: []quarantine.Run{b.run}})
 	subject, known := s.mostSuspected(&b.run)
 	s.log.Warn("target_crashed", "request", b.request, "digest", b.run.Digest.String(), "workspace", b.run.Workspace,
 		"parts", strings.Join(b.parts, ","), "suspected_parts", len(b.run.Parts), "target", b.target.ID,
@@ -147,5 +148,5 @@
 	s.local.Complete(s.index, refs)
 	s.localCount.Store(int64(s.local.Len()))
 	s.mu.Unlock()
-	s.reporter.add(nil, refs)
+	s.reporter.Completed(refs)
 }
--- a/services/entry/suspects_test.go
+++ b/services/entry/suspects_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -13,7 +12,6 @@
 	"banyanwalk/core/quarantine"
 	"banyanwalk/core/roster"
 	"banyanwalk/infra/rpc"
-	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/standin"
 )
 
@@ -78,14 +76,14 @@
 // A suspect gets its chance, and a complete response clears it.
 func TestCompleteResponseClearsSuspect(t *testing.T) {
 	f := newFixture(t, standin.Behaviour{})
-	reporter := newCrashReporter(f.follower, telemetry.Discard(), metrics.NewRegistry()) // not running: reports stay in its queue
-	f.gateway.suspects.reporter = reporter
+	reporter := f.holdReports()
 	f.applyVerdicts(verdict("/safe/x", quarantine.Suspect, 2, 5))
 	response, _, err := f.send("/safe/x", contentID)
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, response.StatusCode)
-	require.Len(t, reporter.queue, 1)
-	assert.Equal(t, []quarantine.Ref{ref("/safe/x")}, reporter.collect(<-reporter.queue).Completed)
+	report := reporter.Take()
+	require.NotNil(t, report)
+	assert.Equal(t, []quarantine.Ref{ref("/safe/x")}, report.Completed)
 }
 
 // Only the loss of its process counts as the crash of a target: a target that breaks
--- a/services/entry/suspicion.go
+++ b/services/entry/suspicion.go
@@ -27,20 +27,12 @@
 		workspace := f.call.workspaceName()
 		f.subjects = &subjects{
 			content: quarantine.Ref{Workspace: workspace, Digest: auth.RequestDigest(workspace, f.request.Host+f.request.URI, f.request.Body)},
-			parts:   partRefs(workspace, f.call.parts),
+			parts:   auth.PromptPartRefs(workspace, f.call.parts),
 		}
 	}
 	return f.subjects
 }
 
-func partRefs(workspace string, ids []string) []quarantine.Ref {
-	refs := make([]quarantine.Ref, 0, len(ids))
-	for _, id := range ids {
-		refs = append(refs, quarantine.Ref{Workspace: workspace, Digest: auth.PromptPartDigest(workspace, id), Kind: quarantine.PromptPart})
-	}
-	return refs
-}
-
 // assessment is what is known of a request before it is sent.
 type assessment struct {
 	content     suspicion
@@ -132,7 +124,7 @@
 func (f *forwarding) noteCompleted() {
 	s := f.server.suspects
 	if len(f.call.parts) > 0 {
-		s.innocent.add(f.call.started, partRefs(f.call.workspaceName(), f.call.parts))
+		s.innocent.add(f.call.started, auth.PromptPartRefs(f.call.workspaceName(), f.call.parts))
 	}
 	if s.empty() {
 		return
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -17,6 +17,7 @@
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
 	"banyanwalk/infra/wire"
+	"banyanwalk/services/crashreport"
 	"banyanwalk/services/follow"
 	"banyanwalk/services/replicated"
 	"banyanwalk/services/targetcall"
@@ -51,10 +52,13 @@
 	JobRetention time.Duration // how long finished jobs are kept; zero: forever
 	Follower     *follow.Follower
 	HeaderNames  targetcall.HeaderNames
-	ServerTLS    *tls.Config
-	ClientTLS    *tls.Config
-	Log          *telemetry.Log
-	Metrics      metrics.Registry
+	// PromptParts returns the ids of the parts of an item's prompt that other
+	// requests may share; nil: items name no parts.
+	PromptParts func([]jobs.Header) []string
+	ServerTLS   *tls.Config
+	ClientTLS   *tls.Config
+	Log         *telemetry.Log
+	Metrics     metrics.Registry
 }
 
 // Server is one storage host.
@@ -67,6 +71,7 @@
 	runner   *runner
 	archiver *archiver
 	broker   *broker
+	reporter *crashreport.Reporter
 }
 
 // New returns a storage host. Run opens its replica and starts it.
@@ -123,6 +128,7 @@
 		l.Close()
 		return err
 	}
+	s.reporter = crashreport.New(s.cfg.Follower, s.log, metrics.GetOrRegisterCounter("jobhost.crash_reports.dropped", s.cfg.Metrics))
 	s.runner = newRunner(s, group)
 	s.broker = newBroker(s, s.runner)
 	group.Register(s.wire)
@@ -141,9 +147,11 @@
 	p.Go(func() error { return group.Serve(ctx, s.wire, l) })
 	p.Go(func() error { return s.runner.run(ctx) })
 	p.Go(func() error { return s.watchMembership(ctx, group) })
-	p.Go(func() error {
-		s.archiver.run(ctx)
-		return nil
-	})
+	for _, task := range []func(context.Context){s.archiver.run, s.reporter.Run} {
+		p.Go(func() error {
+			task(ctx)
+			return nil
+		})
+	}
 	return p.Wait()
 }
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"banyanwalk/core/jobs"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/roster"
 	"banyanwalk/services/targetcall"
 )
@@ -35,6 +36,7 @@
 	ref            jobs.ItemRef
 	target         *roster.Record
 	request        *targetcall.Request
+	parts          []quarantine.Ref // shared parts of its prompt; nil while no part is suspected
 	progress       *progress
 	startedAt      time.Time
 	cancel         context.CancelCauseFunc
@@ -64,6 +66,7 @@
 	switch {
 	case err == nil:
 		i.completed = true
+		r.trials.completed(i.parts)
 		r.follower.Targets.Succeeded(i.target.ID)
 		r.results.addFinished(jobs.Finished{ItemRef: i.ref, State: jobs.Completed, Text: i.progress.fullText()})
 		r.finishRun(i, false)
--- a/services/jobhost/runner.go
+++ b/services/jobhost/runner.go
@@ -44,6 +44,7 @@
 	group        *replicated.Group[jobs.ApplyResult]
 	targetClient *targetcall.Client
 	results      *resultCommitter
+	trials       *partTrials
 	started      metrics.Counter
 	resumed      metrics.Counter
 	preempted    metrics.Counter
@@ -74,6 +75,7 @@
 		lastRetention: time.Now(),
 	}
 	r.results = newResultCommitter(group, s.log, r.wakeUp)
+	r.trials = newPartTrials(s)
 	return r
 }
 
--- a/services/jobhost/schedule.go
+++ b/services/jobhost/schedule.go
@@ -80,6 +80,10 @@
 	if fullServices[serviceName] {
 		return
 	}
+	parts := r.trials.partsOf(job.Workspace, spec.Headers)
+	if !r.trials.mayRun(now, parts) {
+		return
+	}
 	query := placement.Query{Service: serviceName, Batch: true, Spare: spareSlots}
 	if service := table.Service(serviceName); service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
@@ -89,6 +93,7 @@
 		fullServices[serviceName] = true
 		return
 	}
+	r.trials.started(now, ref, parts)
 	r.mu.Lock()
 	itemProgress := r.paused[ref]
 	if itemProgress == nil {
@@ -96,7 +101,7 @@
 	}
 	delete(r.paused, ref)
 	runCtx, cancel := context.WithCancelCause(ctx)
-	started := &itemRun{runner: r, ref: ref, target: target, progress: itemProgress, startedAt: now, cancel: cancel,
+	started := &itemRun{runner: r, ref: ref, target: target, parts: parts, progress: itemProgress, startedAt: now, cancel: cancel,
 		request: r.targetRequest(job, spec, deadline), tokens: spec.Tokens, maxAttempts: job.MaxAttempts, loggedFailures: item.failures}
 	r.running[ref] = started
 	r.mu.Unlock()
