--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -30,6 +30,7 @@
 	HangAfter     int           // stall after this many events until the caller disconnects; 0: never
 	Unframed      bool          // send neither a length nor chunks: the end of the connection ends the response
 	Reset         bool          // with Unframed: reset the connection at the end instead of closing it
+	RateLimit     string        // requests per second that the target names in its responses; empty: none
 	NoSignature   bool          // omit the signature header
 	Pause         time.Duration // between two events, and before a plain response
 	StrayResponse bool          // send a response to another request first
@@ -37,6 +38,9 @@
 	CrashInAnswer bool          // end the target once the response has begun, within its first event or its body
 }
 
+// rateLimitHeader names the requests per second that a target takes.
+const rateLimitHeader = "Server-Limit"
+
 // Run records one request that a stub target started to run.
 type Run struct {
 	ID           string // of the request
@@ -130,13 +134,16 @@
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(t.headers.RequestID)
 	w.Header().Set(t.headers.RequestID, id)
+	t.mu.Lock()
+	behaviour := t.behaviour(id)
+	t.mu.Unlock()
+	if behaviour.RateLimit != "" {
+		w.Header().Set(rateLimitHeader, behaviour.RateLimit)
+	}
 	if expected := r.Header.Get(t.headers.Expect); expected != "" && expected != t.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	t.mu.Lock()
-	behaviour := t.behaviour(id)
-	t.mu.Unlock()
 	if behaviour.Refuse {
 		w.Header().Set(t.headers.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/tests/site/harness.go
+++ b/tests/site/harness.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -42,6 +43,9 @@
 	Store   = "store"
 )
 
+// PlainService is the name of a service whose targets are no model engines.
+const PlainService = "app"
+
 // Site is a set of hosts, one process each, and the stub targets that report to
 // them.
 type Site struct {
@@ -204,7 +208,11 @@
 	}
 	serviceList := make([]map[string]any, 0, len(services))
 	for _, name := range services {
-		serviceList = append(serviceList, map[string]any{"name": name, "health_path": "/healthz", "max_conns": 100, "engine": map[string]any{"slots": 8}})
+		service := map[string]any{"name": name, "health_path": "/healthz", "max_conns": 100}
+		if name != PlainService {
+			service["engine"] = map[string]any{"slots": 8}
+		}
+		serviceList = append(serviceList, service)
 	}
 	body, _ = json.Marshal(map[string]any{ // cannot fail: only maps, strings and numbers
 		"version": version,
@@ -244,10 +252,11 @@
 
 // Response is the result of a caller's request.
 type Response struct {
-	Status    int
-	Signature string
-	Body      string
-	Err       error // no response, or the connection broke within its body
+	Status     int
+	Signature  string
+	RetryAfter float64 // seconds; 0: none
+	Body       string
+	Err        error // no response, or the connection broke within its body
 }
 
 // Send sends a caller's request with a request id to a gateway, without retries.
@@ -275,7 +284,8 @@
 	}
 	defer response.Body.Close()
 	responseBody, err := io.ReadAll(response.Body)
-	return Response{Status: response.StatusCode, Signature: response.Header.Get(headers.Signature), Body: string(responseBody), Err: err}
+	retryAfter, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64) // 0 if there is none
+	return Response{Status: response.StatusCode, Signature: response.Header.Get(headers.Signature), RetryAfter: retryAfter, Body: string(responseBody), Err: err}
 }
 
 // Ready reports whether the readiness check of a gateway succeeds.
