LIMIT: one bucket at the broker keeps to the limits that targets name

What callers and targets saw: a target in need that named how many requests a second it takes got as many as before.

Cause (H1): no process read the header. H2 (each gateway keeps to it, the sum does not) is refuted by the test with one gateway, H3 (only jobs, retries) by runs without jobs and with jobs alone.

Change: targetcall reads the limit of each response that a target answers for; processes report readings to the control hosts with their load, which push the newest one with the target's record. The broker of slots, which places online requests and shares its process with the runner of items, keeps one token bucket a target. Requests to plain services ask it too while a target has a limit. Where all targets are limited, a refusal names the time of the next token.

TestItemsGoBeyondLimitsOfTargets now limits both targets: with a free one beside it, its check that a limit is used demanded more than items need. The bound on what a target gets is the same.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -33,6 +33,7 @@
 	full = t.total(best.ID) >= slotsOf(best) && t.ownLoads[best.ID].Batch+t.peerLoads[best.ID].Batch > 0
 	t.addOwn(best.ID, q.Batch, 1)
 	t.useColdAllowance(now, best)
+	t.useRateLimit(best)
 	return best, full
 }
 
@@ -68,7 +69,7 @@
 		preferred = t.dataCentre
 	}
 	for _, r := range t.services[q.Service] {
-		if q.Exclude[r.ID] || t.outOfService(r.DataCentre) || !t.underWarmupLimit(now, r, q) {
+		if q.Exclude[r.ID] || t.outOfService(r.DataCentre) || !t.underWarmupLimit(now, r, q) || !t.underRateLimit(now, r, q.Batch) {
 			continue
 		}
 		if !includeFailed && t.inBackoff(now, r.ID) {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -36,6 +36,10 @@
 	coldAllowances map[string]*allowance
 	reservations   map[string][]time.Time // expiry times of slots reserved against batch items
 	processes      int                    // number of processes that share the warmup rate of a cold target
+	limits         map[string]*rateLimit  // that targets have named, by id
+	limitSequence  uint64                 // of the newest report of this process
+	limitSharer    string                 // name of this process, if it uses only its part of the limits
+	nextPlaces     map[string]time.Time   // by service: until then, places under limits have been promised
 }
 
 type failureState struct {
@@ -63,6 +67,8 @@
 		coldAllowances: make(map[string]*allowance),
 		reservations:   make(map[string][]time.Time),
 		processes:      1,
+		limits:         make(map[string]*rateLimit),
+		nextPlaces:     make(map[string]time.Time),
 	}
 }
 
@@ -83,6 +89,11 @@
 			delete(t.failures, id)
 			delete(t.coldAllowances, id)
 		}
+		if current := byID[id]; current == nil {
+			delete(t.limits, id)
+		} else {
+			t.dropLimit(id, current.Incarnation)
+		}
 	}
 	t.services = services
 	t.byID = byID
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -84,6 +84,7 @@
 	Loads    map[string]placement.Load `msgpack:"l,omitempty"` // requests at each target
 	BrokerID uint64                    `msgpack:"b,omitempty"` // broker whose requests Loads counts as brokered; see StorageState.BrokerID
 	Debts    map[string]float64        `msgpack:"d,omitempty"` // by workspace: tokens by which its bucket is overdrawn
+	Limits   []placement.LimitReport   `msgpack:"e,omitempty"` // that targets have named to this process
 }
 
 // FollowPing reports the subscriber's load to a control host.
@@ -105,8 +106,9 @@
 
 // TargetReport is a target's report and the time since its arrival.
 type TargetReport struct {
-	Report roster.Report `msgpack:"r"`
-	AgeMS  int64         `msgpack:"a"` // milliseconds
+	Report roster.Report          `msgpack:"r"`
+	AgeMS  int64                  `msgpack:"a"`           // milliseconds
+	Limit  *placement.LimitReport `msgpack:"l,omitempty"` // newest reading of the limit that the target names; nil: it never named one
 }
 
 // FollowPush carries the changes since the previous push. The first one carries the
--- a/services/director/board.go
+++ b/services/director/board.go
@@ -34,7 +34,8 @@
 	mu              sync.Mutex
 	revision        uint64
 	roster          *roster.Roster
-	targetRevisions map[string]uint64 // registry revision of the last change, by target ID
+	targetRevisions map[string]uint64      // registry revision of the last change, by target ID
+	limits          map[string]targetLimit // newest reading of the limit that a target names, by target ID
 	members         map[string]*memberRecord
 	spent           map[uint64]spentTokens // by incarnation, including those of silent and ended processes
 	hostIncarnation uint64                 // random ID of this incarnation of the control host
@@ -51,14 +52,22 @@
 }
 
 type memberRecord struct {
-	load       rpc.MemberLoad
-	reportedAt time.Time
+	load          rpc.MemberLoad
+	limitSequence uint64 // of the newest report of a target's limit
+	reportedAt    time.Time
+}
+
+// targetLimit is a reading of the limit that a target names.
+type targetLimit struct {
+	report placement.LimitReport
+	readAt time.Time
 }
 
 func newRegistry() *registry {
 	return &registry{
 		roster:          roster.New(),
 		targetRevisions: make(map[string]uint64),
+		limits:          make(map[string]targetLimit),
 		members:         make(map[string]*memberRecord),
 		spent:           make(map[uint64]spentTokens),
 		hostIncarnation: rand.Uint64(),
@@ -119,12 +128,40 @@
 		usage.baseline = load.Spent
 	}
 	r.spent[load.Member.Incarnation] = spentTokens{baseline: usage.baseline, tokens: load.Spent, reportedAt: now}
-	r.members[load.Member.Name] = &memberRecord{load: load, reportedAt: now}
+	record := &memberRecord{load: load, reportedAt: now}
+	if previous != nil && previous.load.Member.Incarnation == load.Member.Incarnation {
+		record.limitSequence = previous.limitSequence
+	}
+	r.members[load.Member.Name] = record
+	r.mergeLimits(now, record)
 	if previous == nil || previous.load.Member.Incarnation != load.Member.Incarnation || !sameStorage(previous.load.Member.Storage, load.Member.Storage) {
 		r.notifyLocked()
 	}
 }
 
+// mergeLimits takes the limits of targets that a member has read since its previous
+// report. The caller holds the lock.
+func (r *registry) mergeLimits(now time.Time, member *memberRecord) {
+	newest := member.limitSequence
+	for _, report := range member.load.Limits {
+		if report.Sequence <= member.limitSequence {
+			continue
+		}
+		newest = max(newest, report.Sequence)
+		next := targetLimit{report: report, readAt: now.Add(-time.Duration(report.AgeMS) * time.Millisecond)}
+		known, found := r.limits[report.Target]
+		if found && (known.report.Incarnation > report.Incarnation || known.report.Incarnation == report.Incarnation && !next.readAt.After(known.readAt)) {
+			continue
+		}
+		r.limits[report.Target] = next
+		if !found || known.report.Incarnation != report.Incarnation || known.report.PerSecond != report.PerSecond {
+			r.revision++
+			r.targetRevisions[report.Target] = r.revision
+		}
+	}
+	member.limitSequence = newest
+}
+
 func sameStorage(a, b *rpc.StorageState) bool {
 	if a == nil || b == nil {
 		return a == b
@@ -155,6 +192,12 @@
 	for _, record := range expired {
 		delete(r.targetRevisions, record.ID)
 	}
+	for id := range r.limits {
+		if r.roster.Get(id) == nil {
+			delete(r.limits, id)
+			delete(r.targetRevisions, id)
+		}
+	}
 	return expired
 }
 
@@ -168,7 +211,13 @@
 		if changed <= revision || record == nil {
 			continue
 		}
-		targets = append(targets, rpc.TargetReport{Report: record.Report, AgeMS: now.Sub(record.ReceivedAt).Milliseconds()})
+		target := rpc.TargetReport{Report: record.Report, AgeMS: now.Sub(record.ReceivedAt).Milliseconds()}
+		if limit, found := r.limits[id]; found {
+			report := limit.report
+			report.AgeMS = now.Sub(limit.readAt).Milliseconds()
+			target.Limit = &report
+		}
+		targets = append(targets, target)
 	}
 	return targets, r.revision
 }
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -101,10 +101,11 @@
 		cfg:          cfg,
 		log:          cfg.Log,
 		follower:     cfg.Follower,
-		targetClient: targetcall.NewClient(cfg.HeaderNames, cfg.Metrics),
+		targetClient: targetcall.NewClient(cfg.HeaderNames, cfg.Follower, cfg.Metrics),
 		jobs:         newJobClient(cfg.Follower),
 		metrics:      newRequestMetrics(cfg.Metrics),
 	}
+	cfg.Follower.Targets.ShareLimits(cfg.Name)
 	s.preemptions = newPreemptions(s.jobs)
 	s.slots = newSlots(cfg.Follower, s.jobs)
 	s.reporter = crashreport.New(cfg.Follower, cfg.Log, metrics.GetOrRegisterCounter("entry.crash_reports.dropped", cfg.Metrics))
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -245,14 +245,11 @@
 }
 
 // acquireSlot acquires a slot for a request. Only model engines are shared with
-// batch items, so requests to other services bypass the broker.
+// batch items, so requests to other services bypass the broker, unless a target has
+// named a rate limit for all processes together.
 func (s *Server) acquireSlot(ctx context.Context, c *call, service *routing.Service, q placement.Query, suspect bool) (*slot, *outcome.Error) {
-	if service == nil || service.Slots == 0 {
-		target, _ := s.follower.Targets.Acquire(time.Now(), q)
-		if target == nil {
-			return nil, outcome.New(outcome.NoTarget, outcome.NotRun, "no target of the service takes requests").WithRetryAfter(noTargetRetryAfter)
-		}
-		return &slot{target: target, total: s.follower.Targets.TotalLoad(target.ID)}, nil
+	if (service == nil || service.Slots == 0) && !s.follower.Targets.HasLimits(q.Service) {
+		return s.slots.acquireDirectly(q)
 	}
 	request := &rpc.SlotRequest{
 		DataCentre:  s.cfg.DataCentre,
--- a/services/entry/slots.go
+++ b/services/entry/slots.go
@@ -63,9 +63,19 @@
 	if granted != nil || failure != nil {
 		return granted, failure
 	}
-	target, full := s.follower.Targets.Acquire(time.Now(), q)
+	return s.acquireDirectly(q)
+}
+
+// acquireDirectly acquires a slot without the broker.
+func (s *slots) acquireDirectly(q placement.Query) (*slot, *outcome.Error) {
+	now := time.Now()
+	target, full := s.follower.Targets.Acquire(now, q)
 	if target == nil {
-		return nil, outcome.New(outcome.NoTarget, outcome.NotRun, "no target of the service takes requests").WithRetryAfter(noTargetRetryAfter)
+		retryAfter, limited := s.follower.Targets.NextPlace(now, q.Service)
+		if !limited {
+			retryAfter = noTargetRetryAfter
+		}
+		return nil, outcome.New(outcome.NoTarget, outcome.NotRun, "no target of the service takes requests").WithRetryAfter(retryAfter)
 	}
 	return &slot{target: target, needsPreemption: full, total: s.follower.Targets.TotalLoad(target.ID)}, nil
 }
--- a/services/follow/feed.go
+++ b/services/follow/feed.go
@@ -91,6 +91,7 @@
 	var sentAt time.Time
 	var sentLoads map[string]placement.Load
 	sentWantsPeerLoads := false
+	sentLimitSequence := uint64(0)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -105,12 +106,13 @@
 		timer.Reset(reportInterval)
 		loads := f.ownLoads(f.brokerID())
 		wantsPeerLoads := f.wantsPeerLoads(addr)
-		if maps.Equal(loads, sentLoads) && wantsPeerLoads == sentWantsPeerLoads && time.Since(sentAt) < idleReportInterval {
+		_, limitSequence := f.Targets.LimitReports(time.Now())
+		if maps.Equal(loads, sentLoads) && limitSequence == sentLimitSequence && wantsPeerLoads == sentWantsPeerLoads && time.Since(sentAt) < idleReportInterval {
 			continue
 		}
 		if err := stream.Send(&rpc.FollowPing{Load: f.memberLoad(), WantsPeerLoads: wantsPeerLoads}); err != nil {
 			return
 		}
-		sentAt, sentLoads, sentWantsPeerLoads = time.Now(), loads, wantsPeerLoads
+		sentAt, sentLoads, sentWantsPeerLoads, sentLimitSequence = time.Now(), loads, wantsPeerLoads, limitSequence
 	}
 }
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -215,6 +215,13 @@
 	close(*f.reportNow.Swap(&next))
 }
 
+// ObserveLimit records the limit that a response of a target named.
+func (f *Follower) ObserveLimit(now time.Time, target *roster.Record, perSecond float64) {
+	if before, after := f.Targets.ObserveLimit(now, target, perSecond); before != after {
+		f.cfg.Log.Info("target_limit_read", "target", target.ID, "target_incarnation", target.Incarnation, "per_second", after, "before", before)
+	}
+}
+
 // memberLoad returns this process's report about itself.
 func (f *Follower) memberLoad() rpc.MemberLoad {
 	member := f.cfg.Member
@@ -222,6 +229,7 @@
 		member.Storage = f.cfg.Storage()
 	}
 	broker := f.brokerID()
+	limits, _ := f.Targets.LimitReports(time.Now())
 	return rpc.MemberLoad{
 		Member:   member,
 		Sequence: f.sequence.Add(1),
@@ -229,6 +237,7 @@
 		Loads:    f.ownLoads(broker),
 		Debts:    f.Buckets.Debts(time.Now()),
 		BrokerID: broker,
+		Limits:   limits,
 	}
 }
 
--- a/services/follow/merge.go
+++ b/services/follow/merge.go
@@ -91,6 +91,11 @@
 	if len(reports) > 0 {
 		f.Targets.SetRecords(f.roster.All())
 	}
+	for i := range reports {
+		if limit := reports[i].Limit; limit != nil && f.Targets.ApplyLimit(now, *limit) {
+			f.cfg.Log.Info("target_limit_taken", "target", limit.Target, "per_second", limit.PerSecond, "age_ms", limit.AgeMS)
+		}
+	}
 	return changed
 }
 
--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -76,6 +76,7 @@
 	for id := range b.grants {
 		b.dropGrant(id)
 	}
+	b.targets.DrainLimits(time.Now())
 	b.id.Store(brokerID)
 }
 
@@ -85,25 +86,10 @@
 	if b.id.Load() == 0 {
 		return nil, notLeader()
 	}
-	query := placement.Query{Service: r.Service, DataCentre: r.DataCentre, MaxQueue: maxQueue, Exclude: make(map[string]bool, len(r.Exclude))}
-	if r.IsRetry {
-		query.MaxQueue = maxQueueOnRetry
-	}
-	for _, id := range r.Exclude {
-		query.Exclude[id] = true
-	}
-	if table := b.server.cfg.Follower.Table(); table != nil {
-		if service := table.Service(r.Service); service != nil {
-			query.WarmupPerSecond = service.WarmupPerSecond
-		}
-	}
 	now := time.Now()
-	target, full := b.acquireTarget(now, query, r.IsSuspect)
+	target, full := b.acquireTarget(now, b.query(r), r.IsSuspect)
 	if target == nil {
-		b.refused.Inc(1)
-		slots, taken, targets := b.targets.Free(r.Service)
-		return nil, outcome.New(outcome.TargetBusy, outcome.NotRun, "no target of service %s has a place: %d slots at %d targets, %d requests there, returning %t",
-			r.Service, slots, targets, taken, r.IsRetry).WithRetryAfter(busyRetryAfter)
+		return nil, b.refuse(now, r)
 	}
 	if full {
 		b.runner.preempt(map[string]int{target.ID: 1})
@@ -114,6 +100,42 @@
 	return &rpc.SlotGrant{Target: target.ID, Total: b.targets.TotalLoad(target.ID)}, nil
 }
 
+// query returns the placement of a request. Only model engines have a bounded queue.
+func (b *broker) query(r *rpc.SlotRequest) placement.Query {
+	query := placement.Query{Service: r.Service, DataCentre: r.DataCentre, Exclude: make(map[string]bool, len(r.Exclude))}
+	for _, id := range r.Exclude {
+		query.Exclude[id] = true
+	}
+	table := b.server.cfg.Follower.Table()
+	if table == nil {
+		query.MaxQueue = maxQueue
+		return query
+	}
+	service := table.Service(r.Service)
+	if service == nil || service.Slots > 0 {
+		query.MaxQueue = maxQueue
+		if r.IsRetry {
+			query.MaxQueue = maxQueueOnRetry
+		}
+	}
+	if service != nil {
+		query.WarmupPerSecond = service.WarmupPerSecond
+	}
+	return query
+}
+
+// refuse returns the refusal of a request for which no target has a place.
+func (b *broker) refuse(now time.Time, r *rpc.SlotRequest) *outcome.Error {
+	b.refused.Inc(1)
+	retryAfter, limited := b.targets.NextPlace(now, r.Service)
+	if !limited {
+		retryAfter = busyRetryAfter
+	}
+	slots, taken, targets := b.targets.Free(r.Service)
+	return outcome.New(outcome.TargetBusy, outcome.NotRun, "no target of service %s has a place: %d slots at %d targets, %d requests there, all limited %t, returning %t",
+		r.Service, slots, targets, taken, limited, r.IsRetry).WithRetryAfter(retryAfter)
+}
+
 // acquireTarget chooses a target. A request that may crash it goes, where it can, to
 // one without another such request: if the target then crashes, the evidence is
 // against one of them only.
--- a/services/jobhost/runner.go
+++ b/services/jobhost/runner.go
@@ -65,7 +65,7 @@
 		log:           s.log,
 		follower:      s.cfg.Follower,
 		group:         group,
-		targetClient:  targetcall.NewClient(s.cfg.HeaderNames, s.cfg.Metrics),
+		targetClient:  targetcall.NewClient(s.cfg.HeaderNames, s.cfg.Follower, s.cfg.Metrics),
 		started:       metrics.GetOrRegisterCounter("jobhost.items.started", s.cfg.Metrics),
 		resumed:       metrics.GetOrRegisterCounter("jobhost.items.resumed", s.cfg.Metrics),
 		preempted:     metrics.GetOrRegisterCounter("jobhost.items.yielded", s.cfg.Metrics),
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -76,10 +77,18 @@
 	writer       conc.WaitGroup
 }
 
+// LimitObserver learns which rate limits targets name in their responses.
+type LimitObserver interface {
+	// ObserveLimit is told the requests per second that the target takes from all
+	// processes together; 0 means that its response named no limit.
+	ObserveLimit(now time.Time, target *roster.Record, perSecond float64)
+}
+
 // Client sends requests to targets and pools the connections. It is safe for
 // concurrent use.
 type Client struct {
 	headers        HeaderNames
+	limits         LimitObserver
 	connsOpened    metrics.Counter
 	strayResponses metrics.Counter
 
@@ -94,9 +103,10 @@
 }
 
 // NewClient returns a client without open connections.
-func NewClient(headers HeaderNames, registry metrics.Registry) *Client {
+func NewClient(headers HeaderNames, limits LimitObserver, registry metrics.Registry) *Client {
 	return &Client{
 		headers:        headers,
+		limits:         limits,
 		connsOpened:    metrics.GetOrRegisterCounter("targets.connections.opened", registry),
 		strayResponses: metrics.GetOrRegisterCounter("targets.answers.stray", registry),
 		pools:          make(map[string]*targetPool),
@@ -150,6 +160,7 @@
 		resp.Close()
 		return nil, err
 	}
+	c.observeLimit(target, resp)
 	if err := c.checkResponse(resp); err != nil {
 		resp.drain()
 		resp.Close()
@@ -158,6 +169,24 @@
 	return resp, nil
 }
 
+// observeLimit passes on the limit that a response names. Responses of another target
+// at the address and those that no target has signed tell nothing.
+func (c *Client) observeLimit(target *roster.Record, resp *Response) {
+	if resp.Status == http.StatusMisdirectedRequest || resp.Header.Get(c.headers.Signature) == "" && resp.Header.Get(c.headers.NotRun) == "" {
+		return
+	}
+	perSecond := 0.0
+	if value := resp.Header.Get(c.headers.RateLimit); value != "" {
+		var err error
+		perSecond, err = strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+			return
+		}
+		perSecond = max(perSecond, math.SmallestNonzeroFloat64) // 0 is a limit too
+	}
+	c.limits.ObserveLimit(time.Now(), target, perSecond)
+}
+
 // roundTrip writes the request and reads the header of its response, skipping
 // responses to other requests.
 func (c *Client) roundTrip(resp *Response, r *Request, encoded []byte) error {
--- a/services/targetcall/request.go
+++ b/services/targetcall/request.go
@@ -20,6 +20,7 @@
 	LastEventID string // the stream resumes after this event
 	NotRun      string // in a response: the target did not run the request
 	Signature   string // in each response that the target itself produced
+	RateLimit   string // in a response: requests per second that the target takes from all processes together
 	Key         string // API key of the caller, never passed on
 }
 
--- a/tests/site/target_limit_test.go
+++ b/tests/site/target_limit_test.go
@@ -236,7 +236,7 @@
 	const jobs, items = 8, 50
 	behaviour := standin.Behaviour{Events: 5, Pause: 20 * time.Millisecond}
 	s := startSite(t, 115)
-	limited := addLimitedTargets(t, s, "llm", 8, behaviour, 3, 0)
+	limited := addLimitedTargets(t, s, "llm", 8, behaviour, 3, 2)
 	gateway := s.Role(Gateway)[0]
 	awaitServed(t, s, gateway, "/ask/1", "first")
 	limited.name(behaviour)
