services/targetcall: a response with an encoding that nobody asked for is not passed on

Now it counts as a failed attempt that may have run, unless the caller sent Accept-Encoding. TestEncodedResponseIsNotPassedOn failed before on both routes (200 and gzip instead of another target's body, and of 502).

--- /dev/null
+++ b/services/entry/protocol_test.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"banyanwalk/services/standin"
+)
+
+// exchange sends raw bytes to the gateway and returns its response.
+func (f *fixture) exchange(raw string) (*http.Response, string) {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.addr)
+	require.NoError(f.t, err)
+	defer conn.Close()
+	require.NoError(f.t, conn.SetDeadline(time.Now().Add(waitTimeout)))
+	_, err = io.WriteString(conn, raw)
+	require.NoError(f.t, err)
+	method, _, _ := strings.Cut(raw, " ")
+	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	require.NoError(f.t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(f.t, err)
+	return response, string(body)
+}
+
+// rawRequest returns a request with a body and further header lines.
+func rawRequest(method, target, body string, headers ...string) string {
+	lines := append([]string{method + " " + target + " HTTP/1.1", "Host: " + routeHost, "X-Id: a", "X-Key: k1",
+		fmt.Sprint("Content-Length: ", len(body))}, headers...)
+	return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
+}
+
+// Method, path and query reach the target as the caller sent them.
+func TestUnusualRequestLinesReachTargetUnchanged(t *testing.T) {
+	for _, method := range []string{"POST", "PUT", "PATCH", "DELETE", "GET", "HEAD", "OPTIONS"} {
+		for _, target := range []string{"/safe/a%2Fb", "/safe/a/../b", "/safe//b", "/safe/./b/", "/safe/a?x=%20&y=a+b&x=", "/safe/%C3%A9", "/safe/a;b=c", "/safe/a?"} {
+			t.Run(method+" "+target, func(t *testing.T) {
+				f := newFixture(t, standin.Behaviour{})
+				response, _ := f.exchange(rawRequest(method, target, ""))
+				assert.Equal(t, http.StatusOK, response.StatusCode)
+				runs := f.allRuns()
+				require.Len(t, runs, 1)
+				assert.Equal(t, target, runs[0].URI)
+			})
+		}
+	}
+}
+
+// The largest header that the users' configurations allow.
+func TestLargeHeaderIsForwarded(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{})
+	large := strings.Repeat("a:100,", 2500)
+	response, _ := f.exchange(rawRequest("POST", "/safe/x", "body", "X-Parts: "+large))
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	runs := f.allRuns()
+	require.Len(t, runs, 1)
+	assert.Equal(t, large, runs[0].Header.Get("X-Parts"))
+}
+
+// A caller that waits for 100 Continue gets it, and is answered.
+func TestCallerThatExpectsContinue(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{})
+	conn, err := net.Dial("tcp", f.addr)
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(waitTimeout)))
+	head, body, _ := strings.Cut(rawRequest("POST", "/safe/x", "body", "Expect: 100-continue"), "\r\n\r\n")
+	_, err = io.WriteString(conn, head+"\r\n\r\n")
+	require.NoError(t, err)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusContinue, response.StatusCode)
+	_, err = io.WriteString(conn, body)
+	require.NoError(t, err)
+	response, err = http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	assert.Equal(t, "body", f.allRuns()[0].Body)
+}
+
+// Headers of model engines that the gateway does not use reach the target, and their
+// responses the caller.
+func TestEngineHeadersAreForwarded(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{})
+	headers := []string{"X-Model: m", "X-Pin: 3000", "X-Hold: h-1", "Kv-From: 10.0.0.1:80/h", "X-Length-Hint: 40"}
+	response, _ := f.exchange(rawRequest("POST", "/safe/x", "body", headers...))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	got := f.allRuns()[0].Header
+	for _, header := range headers {
+		name, value, _ := strings.Cut(header, ": ")
+		assert.Equal(t, value, got.Get(name), name)
+	}
+}
+
+// Callers ask for bodies without any encoding; a response that has one is not the
+// target's body.
+func TestEncodedResponseIsNotPassedOn(t *testing.T) {
+	for path, want := range map[string]int{"/safe/x": http.StatusOK, "/once/x": http.StatusBadGateway} {
+		t.Run(path, func(t *testing.T) {
+			f := newFixture(t, standin.Behaviour{ContentEncoding: "gzip"}, standin.Behaviour{})
+			f.targets[1].SetBehaviour(func(string) standin.Behaviour {
+				if path == "/once/x" {
+					return standin.Behaviour{ContentEncoding: "gzip"}
+				}
+				return standin.Behaviour{}
+			})
+			response, body := f.exchange(rawRequest("POST", path, "body"))
+			assert.Equal(t, want, response.StatusCode)
+			assert.Empty(t, response.Header.Get("Content-Encoding"))
+			if want == http.StatusOK {
+				assert.Equal(t, standin.ResponseBody("a"), body)
+			}
+		})
+	}
+}
+
+// A target that serves another version of its weights refuses with 421 and has not
+// run the request; another target gets it.
+func TestRequestForAnotherVersionGoesElsewhere(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Status: http.StatusMisdirectedRequest, Refuse: true}, standin.Behaviour{}, standin.Behaviour{})
+	for n := range 6 {
+		response, _ := f.exchange(rawRequest("POST", "/once/x", fmt.Sprint("body ", n)))
+		assert.Equal(t, http.StatusOK, response.StatusCode)
+	}
+}
--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -22,20 +22,22 @@
 
 // Behaviour configures how a stub target handles a request.
 type Behaviour struct {
-	Refuse        bool          // respond 503 with the header that the request did not run
-	Status        int           // of the response; 0: 200
-	Events        int           // number of events to stream; 0: a plain response
-	BreakAfter    int           // close the connection after this many events; 0: never
-	TruncateEvent bool          // with BreakAfter: close it in the middle of the next event
-	HangAfter     int           // stall after this many events until the caller disconnects; 0: never
-	Unframed      bool          // send neither a length nor chunks: the end of the connection ends the response
-	Reset         bool          // with Unframed: reset the connection at the end instead of closing it
-	RateLimit     string        // requests per second that the target names in its responses; empty: none
-	NoSignature   bool          // omit the signature header
-	Pause         time.Duration // between two events, and before a plain response
-	StrayResponse bool          // send a response to another request first
-	Crash         bool          // end the target as soon as it runs the request
-	CrashInAnswer bool          // end the target once the response has begun, within its first event or its body
+	Refuse        bool // respond 503 with the header that the request did not run
+	Status        int  // of the response; 0: 200
+	Events        int  // number of events to stream; 0: a plain response
+	BreakAfter    int  // close the connection after this many events; 0: never
+	TruncateEvent bool // with BreakAfter: close it in the middle of the next event
+	HangAfter     int  // stall after this many events until the caller disconnects; 0: never
+	Unframed      bool // send neither a length nor chunks: the end of the connection ends the response
+	Reset         bool // with Unframed: reset the connection at the end instead of closing it
+	// ContentEncoding is a header that the response body does not live up to.
+	ContentEncoding string
+	RateLimit       string        // requests per second that the target names in its responses; empty: none
+	NoSignature     bool          // omit the signature header
+	Pause           time.Duration // between two events, and before a plain response
+	StrayResponse   bool          // send a response to another request first
+	Crash           bool          // end the target as soon as it runs the request
+	CrashInAnswer   bool          // end the target once the response has begun, within its first event or its body
 }
 
 // rateLimitHeader names the requests per second that a target takes.
@@ -157,6 +159,9 @@
 		t.Crash()
 		panic(http.ErrAbortHandler)
 	}
+	if behaviour.ContentEncoding != "" {
+		w.Header().Set("Content-Encoding", behaviour.ContentEncoding)
+	}
 	if !behaviour.NoSignature {
 		w.Header().Set(t.headers.Signature, Signature(id))
 	}
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -161,7 +161,7 @@
 		return nil, err
 	}
 	c.observeLimit(target, resp)
-	if err := c.checkResponse(resp); err != nil {
+	if err := c.checkResponse(r, resp); err != nil {
 		resp.drain()
 		resp.Close()
 		return nil, err
@@ -238,8 +238,9 @@
 }
 
 // checkResponse returns the failure for a response that says that the request did
-// not run, or that lacks a target's signature.
-func (c *Client) checkResponse(resp *Response) error {
+// not run, lacks a target's signature, or is encoded though the caller did not ask
+// for it.
+func (c *Client) checkResponse(r *Request, resp *Response) error {
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
 		return &Failure{Outcome: outcome.NotRun, Status: resp.Status, Reason: "another target serves this address"}
@@ -247,10 +248,17 @@
 		return &Failure{Outcome: outcome.NotRun, Status: resp.Status, Reason: "refused by the target"}
 	case resp.Status < http.StatusMultipleChoices && resp.Header.Get(c.headers.Signature) == "":
 		return &Failure{Outcome: outcome.MayHaveRun, Status: resp.Status, Reason: "response without signature"}
+	case isEncoded(resp.Header) && r.Header.Get("Accept-Encoding") == "":
+		return &Failure{Outcome: outcome.MayHaveRun, Status: resp.Status, Reason: "encoded response"}
 	}
 	return nil
 }
 
+func isEncoded(header http.Header) bool {
+	encoding := header.Get("Content-Encoding")
+	return encoding != "" && !strings.EqualFold(encoding, "identity")
+}
+
 // Read reads the body. io.EOF means that it is complete.
 func (resp *Response) Read(p []byte) (int, error) {
 	n, err := resp.body.Read(p)
