--- a/services/entry/protocol_test.go
+++ b/services/entry/protocol_test.go
@@ -6,7 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -136,3 +139,58 @@
 		assert.Equal(t, http.StatusOK, response.StatusCode)
 	}
 }
+
+// deadlines returns the deadline that each run was sent with, in milliseconds.
+func (f *fixture) deadlines() []int {
+	f.t.Helper()
+	var all []int
+	for _, run := range f.allRuns() {
+		left, err := strconv.Atoi(run.Header.Get("X-Deadline"))
+		require.NoError(f.t, err, "each send names a deadline")
+		all = append(all, left)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// A target is never handed more time than is left: of the caller's deadline, of the
+// route's timeout, and of both after a failed attempt.
+func TestTargetsGetTheTimeThatIsLeft(t *testing.T) {
+	const pause = 300 * time.Millisecond
+	for name, test := range map[string]struct {
+		path, header string
+		first        standin.Behaviour
+		most         int // milliseconds
+	}{
+		"caller's deadline":         {"/safe/x", "X-Deadline: 5000", standin.Behaviour{}, 5000},
+		"no deadline":               {"/safe/x", "X-Other: 1", standin.Behaviour{}, int(waitTimeout.Milliseconds())},
+		"unreadable deadline":       {"/safe/x", "X-Deadline: soon", standin.Behaviour{}, int(waitTimeout.Milliseconds())},
+		"deadline beyond the route": {"/safe/x", "X-Deadline: 90000", standin.Behaviour{}, int(waitTimeout.Milliseconds())},
+		"second attempt":            {"/safe/x", "X-Deadline: 5000", standin.Behaviour{CrashInAnswer: true, Pause: pause}, 5000},
+		"resumed stream":            {"/resume/x", "X-Deadline: 5000", standin.Behaviour{Events: 4, BreakAfter: 2, Pause: pause / 2}, 5000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			second := standin.Behaviour{Events: test.first.Events}
+			f := newFixture(t, second, second)
+			var sent atomic.Int32
+			for _, target := range f.targets {
+				target.SetBehaviour(func(string) standin.Behaviour {
+					if sent.Add(1) == 1 {
+						return test.first
+					}
+					return second
+				})
+			}
+			response, _ := f.exchange(rawRequest("POST", test.path, "body", test.header))
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			deadlines := f.deadlines()
+			assert.LessOrEqual(t, deadlines[len(deadlines)-1], test.most)
+			if len(deadlines) == 2 {
+				assert.LessOrEqual(t, deadlines[0], test.most-int(pause.Milliseconds()))
+			}
+			if test.first.Pause > 0 {
+				assert.Len(t, deadlines, 2)
+			}
+		})
+	}
+}
--- a/services/targetcall/events_test.go
+++ b/services/targetcall/events_test.go
@@ -47,3 +47,16 @@
 	_, err = broken.Next()
 	assert.ErrorIs(t, err, iotest.ErrTimeout)
 }
+
+// An event may begin with a line that names the version of the target's weights.
+func TestEventWithVersionLineIsKeptWhole(t *testing.T) {
+	const first, second = "id: 1\ndata: one\n\n", "x-weight-versions: 7\nid: 2\ndata: two\n\n"
+	r := NewEventReader(strings.NewReader(first + second))
+	_, err := r.Next()
+	require.NoError(t, err)
+	e, err := r.Next()
+	require.NoError(t, err)
+	assert.Equal(t, int64(2), e.ID)
+	assert.Equal(t, second, string(e.Raw))
+	assert.Equal(t, "two", string(e.Data))
+}
