--- a/services/control/replica/loop.go
+++ b/services/control/replica/loop.go
@@ -17,6 +17,8 @@
 	maxQueuedProposals = 1 << 16 // further commands are rejected
 	maxQueuedReads     = 1 << 16 // further reads are rejected
 	ticksPerHeartbeat  = 4       // clock ticks per heartbeat interval
+	// slowSync is the duration from which on a sync of the disk is logged.
+	slowSync = 200 * time.Millisecond
 )
 
 // Run runs the replica until ctx ends, then closes its files. A leader first
@@ -167,7 +169,7 @@
 		r.sendAll(ready.MessagesBeforeSync)
 		if ready.MustSync {
 			batch := wal.Batch{HardState: ready.HardState, Snapshot: ready.Snapshot, Entries: ready.Entries}
-			if err := r.wal.Save(batch); err != nil {
+			if err := r.save(batch); err != nil {
 				return err
 			}
 		}
@@ -180,6 +182,18 @@
 	return nil
 }
 
+// save syncs a batch to disk. The consensus waits meanwhile, heartbeats included, so a
+// slow disk can cost a leader its leadership.
+func (r *Replica) save(batch wal.Batch) error {
+	started := time.Now()
+	err := r.wal.Save(batch)
+	if took := time.Since(started); took > slowSync {
+		r.event("disk_sync_slow", "took_ms", took.Milliseconds(), "entries", len(batch.Entries), "leads", r.core.Status().Role == raft.Leader,
+			"election_timeout_ms", r.cfg.ElectionTimeout.Milliseconds())
+	}
+	return err
+}
+
 // enqueueCommitted passes committed entries, a received snapshot and confirmed
 // reads to the applier.
 func (r *Replica) enqueueCommitted(ready raft.Ready) {
