core/raft: a replica that was stalled itself keeps its leader

Cause: a stall of the replica itself (its disk, its processor) counted as silence of the others. After 600 ms without running, a leader stepped down although every heartbeat that it had sent was answered, even the only voter of a group; its followers, stalled with it by the disk that they share, started elections before they read the heartbeats that lay in their queues.

Ruled out: lost messages, votes of others (the group of one).

Change: a leader steps down when a heartbeat round has gone unanswered for the election timeout, not when it has not asked. A follower that was stalled gives the leader three heartbeat intervals, once after each contact. Messages that arrived count before the time that passed. Leases are unchanged: they run from the sending of an answered heartbeat.

TestLeaderOutlivesItsOwnStall, TestFollowerWaitsForLeaderAfterItsOwnStall fail without the change; the histories of core/raft pass.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -29,6 +29,7 @@
 		r.becomeFollower(r.term, leader)
 	}
 	r.lastLeaderContact = r.now
+	r.allowedForStall = false
 	r.resetTimer()
 }
 
@@ -169,7 +170,6 @@
 	r.role = Leader
 	r.leader = r.id
 	r.votes = nil
-	r.electedAt = r.now
 	r.leaseStart = time.Time{}
 	r.lastRound = 0
 	r.unconfirmedRounds = nil
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -39,6 +39,7 @@
 	maxUncommittedEntries = 1 << 16 // entries in a leader's log after the commit index
 	maxPendingReads       = 1 << 16 // read requests waiting for a heartbeat round
 	leaseMarginPercent    = 10      // of the election timeout; allows for differences in clock rate
+	stallAllowance        = 3       // heartbeat intervals that a follower waits after it was stalled itself
 )
 
 // Config describes one replica and the state recovered from its data directory.
@@ -98,6 +99,8 @@
 	leader                ReplicaID
 	lastLeaderContact     time.Time // time of the last contact with a leader, or of the restart
 	electionTimerStart    time.Time
+	lastTick              time.Time
+	allowedForStall       bool // since the last contact with a leader
 	electionTimerDuration time.Duration
 	votes                 map[ReplicaID]bool
 	blankPeers            map[uint64]blankPeer // peers that answered a probe as blank, by host
@@ -108,7 +111,6 @@
 	lastRound         uint64 // number of the last heartbeat round sent
 	unconfirmedRounds []roundTime
 	lastHeartbeat     time.Time // when the last heartbeat round was sent
-	electedAt         time.Time
 	leaseStart        time.Time // send time of the last round that a quorum answered
 	termStartIndex    uint64    // index of the empty entry that starts this leader's term
 	pendingReads      []readRequest
@@ -160,6 +162,10 @@
 // heartbeat interval.
 func (r *Raft) Tick(now time.Time) {
 	r.advanceClock(now)
+	if !r.lastTick.IsZero() && r.now.Sub(r.lastTick) >= r.cfg.ElectionTimeout/2 {
+		r.allowForStall()
+	}
+	r.lastTick = r.now
 	if r.role == Leader {
 		r.tickLeader()
 		return
@@ -173,6 +179,19 @@
 	}
 }
 
+// allowForStall gives the leader time for a heartbeat after this replica itself was
+// stalled, once after each contact with the leader.
+func (r *Raft) allowForStall() {
+	if r.allowedForStall {
+		return
+	}
+	r.allowedForStall = true
+	earliest := r.now.Add(stallAllowance*r.cfg.HeartbeatInterval - r.electionTimerDuration)
+	if r.electionTimerStart.Before(earliest) {
+		r.electionTimerStart = earliest
+	}
+}
+
 func (r *Raft) advanceClock(now time.Time) {
 	if now.After(r.now) {
 		r.now = now
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -219,3 +220,91 @@
 		require.False(t, disjoint, "%v and %v", pair[0], pair[1])
 	})
 }
+
+// A replica that was stalled itself, by its disk or processor, has no evidence
+// against the others: a group lost its leader although nothing had failed.
+func TestLeaderOutlivesItsOwnStall(t *testing.T) {
+	t.Run("only voter", func(t *testing.T) {
+		r := newRestartedReplica(t, Membership{Voters: []ReplicaID{replica2}})
+		now := start.Add(2 * simElection)
+		r.Tick(now)
+		takeMessages(r)
+		require.Equal(t, Leader, r.Status().Role)
+		r.Tick(now.Add(time.Hour))
+		require.Equal(t, Leader, r.Status().Role)
+	})
+	t.Run("every heartbeat was answered", func(t *testing.T) {
+		r, now := newLeaderOfTwo(t)
+		require.True(t, now.Before(r.LeaseUntil()))
+		now = now.Add(time.Hour)
+		r.Tick(now)
+		require.Equal(t, Leader, r.Status().Role)
+		require.False(t, now.Before(r.LeaseUntil()), "its lease has run out")
+		require.NotEmpty(t, heartbeats(takeMessages(r)), "it asks whether it still leads")
+		r.Tick(now.Add(simElection - 1))
+		require.Equal(t, Leader, r.Status().Role)
+		r.Tick(now.Add(simElection))
+		require.Equal(t, Follower, r.Status().Role, "no answer")
+	})
+	t.Run("another one was elected", func(t *testing.T) {
+		r, now := newLeaderOfTwo(t)
+		now = now.Add(time.Hour)
+		r.Tick(now)
+		r.Step(now, Message{Type: MsgAppendResp, From: replica1, To: replica2, Term: r.Status().Term + 1, Reject: true})
+		require.Equal(t, Follower, r.Status().Role)
+	})
+}
+
+// newLeaderOfTwo returns the leader of two voters, whose heartbeats have all been
+// answered, and the time.
+func newLeaderOfTwo(t *testing.T) (*Raft, time.Time) {
+	r := newRestartedReplica(t, Membership{Voters: []ReplicaID{replica1, replica2}})
+	now := start.Add(2 * simElection)
+	r.Tick(now)
+	term := r.Status().Term + 1
+	r.Step(now, Message{Type: MsgPreVoteResp, From: replica1, To: replica2, Term: term})
+	r.Step(now, Message{Type: MsgVoteResp, From: replica1, To: replica2, Term: term})
+	require.Equal(t, Leader, r.Status().Role)
+	for _, m := range takeMessages(r) {
+		switch m.Type {
+		case MsgAppend:
+			r.Step(now, Message{Type: MsgAppendResp, From: replica1, To: replica2, Term: term, Index: m.Index + uint64(len(m.Entries))})
+		case MsgHeartbeat:
+			r.Step(now, Message{Type: MsgHeartbeatResp, From: replica1, To: replica2, Term: term, Round: m.Round})
+		}
+	}
+	takeMessages(r)
+	return r, now
+}
+
+func heartbeats(messages []Message) []Message {
+	return slices.DeleteFunc(messages, func(m Message) bool { return m.Type != MsgHeartbeat })
+}
+
+func TestFollowerWaitsForLeaderAfterItsOwnStall(t *testing.T) {
+	r := newRestartedReplica(t, Membership{Voters: []ReplicaID{replica1, replica2, replica3}})
+	now := start
+	r.Tick(now)
+	r.Step(now, Message{Type: MsgHeartbeat, From: replica1, To: replica2, Term: 1})
+	require.Equal(t, replica1, r.Status().Leader)
+	now = now.Add(time.Hour)
+	r.Tick(now)
+	require.Equal(t, Follower, r.Status().Role)
+	r.Tick(now.Add(stallAllowance*simHeartbeat - 1))
+	require.Equal(t, Follower, r.Status().Role)
+	r.Tick(now.Add(stallAllowance * simHeartbeat))
+	require.Equal(t, PreCandidate, r.Status().Role, "the leader stays silent")
+}
+
+// A follower that is stalled again and again still replaces a leader that is gone.
+func TestStallsDoNotPreventElection(t *testing.T) {
+	r := newRestartedReplica(t, Membership{Voters: []ReplicaID{replica1, replica2, replica3}})
+	now := start
+	r.Tick(now)
+	r.Step(now, Message{Type: MsgHeartbeat, From: replica1, To: replica2, Term: 1})
+	for range 5 {
+		now = now.Add(simElection)
+		r.Tick(now)
+	}
+	require.Equal(t, PreCandidate, r.Status().Role)
+}
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -2,15 +2,11 @@
 
 import "time"
 
-// tickLeader steps down if no quorum has answered within the election timeout
-// (check-quorum), sends heartbeats, retries stalled replication and advances
+// tickLeader steps down if no quorum has answered a heartbeat within the election
+// timeout (check-quorum), sends heartbeats, retries stalled replication and advances
 // membership changes.
 func (r *Raft) tickLeader() {
-	lastQuorum := r.electedAt
-	if r.leaseStart.After(lastQuorum) {
-		lastQuorum = r.leaseStart
-	}
-	if r.now.Sub(lastQuorum) >= r.cfg.ElectionTimeout {
+	if r.quorumLost() {
 		r.becomeFollower(r.term, ReplicaID{})
 		return
 	}
@@ -21,6 +17,21 @@
 	r.advanceMembershipChange()
 }
 
+// quorumLost reports whether a heartbeat round has been without the answers of a
+// quorum for the election timeout. If every round was answered, the time since then
+// is this replica's own delay. It has no lease then, and the next round tells whether
+// it still leads.
+func (r *Raft) quorumLost() bool {
+	if r.confirmedRound() >= r.lastRound {
+		return false
+	}
+	unansweredSince := r.lastHeartbeat
+	if len(r.unconfirmedRounds) > 0 {
+		unansweredSince = r.unconfirmedRounds[0].sent
+	}
+	return r.now.Sub(unansweredSince) >= r.cfg.ElectionTimeout
+}
+
 // retryStalled makes members whose acknowledged index has stopped growing go
 // back to stateProbe, which sends the missing entries again.
 func (r *Raft) retryStalled() {
--- a/services/control/replica/loop.go
+++ b/services/control/replica/loop.go
@@ -61,6 +61,7 @@
 		case <-ctx.Done():
 			return r.transferLeadership()
 		case <-ticker.C:
+			r.stepMessages() // what arrived during a stall counts before the time that passed
 			r.tick()
 		case <-r.inbox.wake:
 		case <-r.proposals.wake:
--- a/services/entry/protocol_test.go
+++ b/services/entry/protocol_test.go
@@ -20,7 +20,7 @@
 )
 
 // exchange sends raw bytes to the gateway and returns its response.
-func (f *fixture) exchange(raw string) (*http.Response, string) {
+func (f *fixture) exchange(raw string) (responseHead, string) {
 	f.t.Helper()
 	conn, err := net.Dial("tcp", f.addr)
 	require.NoError(f.t, err)
@@ -34,7 +34,7 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	require.NoError(f.t, err)
-	return response, string(body)
+	return responseHead{response.StatusCode, response.Header, response.Close}, string(body)
 }
 
 // rawRequest returns a request with a body and further header lines.
@@ -84,6 +84,7 @@
 	reader := bufio.NewReader(conn)
 	response, err := http.ReadResponse(reader, nil)
 	require.NoError(t, err)
+	response.Body.Close()
 	require.Equal(t, http.StatusContinue, response.StatusCode)
 	_, err = io.WriteString(conn, body)
 	require.NoError(t, err)
