services/agent, services/gateway: a call that crashed two targets is not sent to a third

Cause: the agent knows whether the target's process has ended, but told the gateway target_failed in both cases, so the gateway could not give up after two without giving up on lost connections (TestIdempotentIsRetriedElsewhereWithinMaxAttempts).

Change: code 313 target_crashed; a gateway gives up after two of them. Lost connections are retried as before. Every place that treats target_failed as suspicious treats 313 alike (Code.IsTargetFailure).

The site programs are not concerned.

--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -153,7 +153,7 @@
 	DueMS      int64    `msgpack:"u"` // due time of the job, Unix milliseconds
 
 	// LastFailure is the code of the latest counted attempt that failed; 0: none.
-	// After TargetFailed the item itself may have crashed the target.
+	// After a failure of the target the item itself may have crashed the target.
 	LastFailure outcome.Code `msgpack:"f"`
 }
 
--- a/core/outcome/codes.go
+++ b/core/outcome/codes.go
@@ -31,6 +31,7 @@
 	RetryBudgetSpent    Code = 310
 	BadTargetResponse   Code = 311
 	Preempted           Code = 312
+	TargetCrashed       Code = 313
 	JobNotFound         Code = 400
 	FileNotFound        Code = 401
 	BadBatchLine        Code = 402
@@ -66,3 +67,6 @@
 	Cause  string
 	Remedy string
 }
+
+// IsTargetFailure reports whether the target failed while the request was with it.
+func (c Code) IsTargetFailure() bool { return c == TargetFailed || c == TargetCrashed }
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -12,9 +12,14 @@
 // attempt is started.
 const MinAttemptTime = 5 * time.Millisecond
 
+// maxCrashes is the number of crashed targets after which a request is not sent
+// again: it may be the cause.
+const maxCrashes = 2
+
 // Request is the state of a request after a failed attempt.
 type Request struct {
 	Idempotent  bool
+	Crashed     int           // targets that crashed while they had the request
 	MayHaveRun  int           // failed attempts that a target may have received and run
 	MaxAttempts int           // bound on MayHaveRun
 	TimeLeft    time.Duration // until the caller's deadline
@@ -33,7 +38,7 @@
 
 // Decide returns what to do after a failed attempt.
 func Decide(r Request, err *outcome.Error) Decision {
-	if !retryable(err.Code) || r.TimeLeft < MinAttemptTime || r.TargetsLeft == 0 {
+	if !retryable(err.Code) || r.TimeLeft < MinAttemptTime || r.TargetsLeft == 0 || r.Crashed >= maxCrashes {
 		return GiveUp
 	}
 	if err.Outcome == outcome.NotRun {
@@ -48,7 +53,7 @@
 // retryable reports whether the request may succeed on another target.
 func retryable(code outcome.Code) bool {
 	switch code {
-	case outcome.StateStale, outcome.NoTarget, outcome.TargetBusy, outcome.TargetFailed,
+	case outcome.StateStale, outcome.NoTarget, outcome.TargetBusy, outcome.TargetFailed, outcome.TargetCrashed,
 		outcome.TargetLeaving, outcome.TargetCold, outcome.StreamBroken, outcome.BadTargetResponse,
 		outcome.Preempted, outcome.Internal, outcome.Draining, outcome.Unreachable,
 		outcome.BadFrame, outcome.Overloaded:
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -13,6 +13,7 @@
 func anyRequest(t *rapid.T) Request {
 	return Request{
 		Idempotent:  rapid.Bool().Draw(t, "idempotent"),
+		Crashed:     rapid.IntRange(0, 3).Draw(t, "crashed"),
 		MayHaveRun:  rapid.IntRange(0, 4).Draw(t, "mayHaveRun"),
 		MaxAttempts: rapid.IntRange(1, 4).Draw(t, "maxAttempts"),
 		TimeLeft:    time.Duration(rapid.IntRange(-5, 50).Draw(t, "left")) * time.Millisecond,
@@ -32,7 +33,7 @@
 		if o != outcome.NotRun {
 			require.NotEqual(t, Unbudgeted, decision, "an attempt that may have run is retried only within the budget")
 		}
-		if r.TimeLeft < MinAttemptTime || r.TargetsLeft == 0 || entry.HTTP < 500 {
+		if r.Crashed >= maxCrashes || r.TimeLeft < MinAttemptTime || r.TargetsLeft == 0 || entry.HTTP < 500 {
 			require.Equal(t, GiveUp, decision)
 		}
 	})
--- a/services/agent/crash.go
+++ b/services/agent/crash.go
@@ -80,13 +80,13 @@
 // awaitCrashReport is called for a request whose connection broke. If the
 // target's process has crashed, it waits up to crashReportWait for control to
 // log the suspects. incarnation and watchBroken are the target's values from the
-// time when the request was sent.
-func (t *target) awaitCrashReport(incarnation uint64, watchBroken chan struct{}) {
+// time when the request was sent. It reports whether the process has crashed.
+func (t *target) awaitCrashReport(incarnation uint64, watchBroken chan struct{}) bool {
 	if watchBroken != nil && !closedWithin(watchBroken, processExitWait) {
-		return // only this connection broke
+		return false // only this connection broke
 	}
 	if watchBroken == nil && reachable(t.ctx, t.pool.Address()) {
-		return // the target still accepts connections
+		return false // the target still accepts connections
 	}
 	t.mu.Lock()
 	c, current := t.crash, t.info.Incarnation
@@ -94,9 +94,11 @@
 	if current == incarnation {
 		c = t.recordCrash(incarnation, "connections broken")
 	}
-	if c != nil {
-		closedWithin(c.reported, crashReportWait)
+	if c == nil || c.incarnation != incarnation {
+		return false
 	}
+	closedWithin(c.reported, crashReportWait)
+	return true
 }
 
 // closedWithin waits for c to be closed and reports whether it was.
--- a/services/agent/crash_test.go
+++ b/services/agent/crash_test.go
@@ -34,6 +34,7 @@
 	crashed := b.run(t.Context(), poison)
 	require.NotNil(t, crashed.err)
 	assert.Equal(t, outcome.MayHaveRun, crashed.err.Outcome)
+	assert.Equal(t, outcome.TargetCrashed, crashed.err.Code)
 	reports := b.control.crashReports()
 	require.Len(t, reports, 1, "reported before the answer")
 	assert.Len(t, reports[0].Suspects, len(neighbours)+1)
--- a/services/agent/execution.go
+++ b/services/agent/execution.go
@@ -144,8 +144,8 @@
 		x.agent.counters.invalidResponses.Inc(1)
 		return e
 	}
-	if e.Code == outcome.TargetFailed && x.status < serverErrorStatus {
-		x.target.awaitCrashReport(x.incarnation, x.watchBroken)
+	if e.Code == outcome.TargetFailed && x.status < serverErrorStatus && x.target.awaitCrashReport(x.incarnation, x.watchBroken) {
+		return outcome.New(outcome.TargetCrashed, e.Outcome, "%s", e.Message)
 	}
 	return e
 }
--- a/services/agent/puller/run.go
+++ b/services/agent/puller/run.go
@@ -110,7 +110,7 @@
 // isSuspect reports whether the item may have crashed a target or keeps being
 // refused, so that a target runs it only in isolation.
 func (it *item) isSuspect() bool {
-	return it.refusals >= refusalsBeforeIsolation || it.pulled.Lease.LastFailure == outcome.TargetFailed
+	return it.refusals >= refusalsBeforeIsolation || it.pulled.Lease.LastFailure.IsTargetFailure()
 }
 
 // popReady removes and returns the oldest ready item that can start now, or nil.
--- a/services/gateway/dispatch.go
+++ b/services/gateway/dispatch.go
@@ -17,6 +17,7 @@
 	request          *inboundRequest
 	slotRequest      slotRequest
 	attempts         int
+	crashed          int       // targets that crashed while they had the request
 	mayHaveRun       int       // failed attempts that a target may have received and run
 	suspect          bool      // may have crashed a target, so the next attempt runs alone on its target
 	slotWaitEnd      time.Time // deadline for slot waits; zero before the first attempt
@@ -73,6 +74,7 @@
 	decision := retry.Decide(retry.Request{
 		Idempotent:  d.request.idempotent,
 		MayHaveRun:  d.mayHaveRun,
+		Crashed:     d.crashed,
 		MaxAttempts: d.request.maxAttempts(),
 		TimeLeft:    time.Until(d.request.deadline),
 		TargetsLeft: d.targetsLeft(),
@@ -166,7 +168,10 @@
 	}
 	if failure.Outcome != outcome.NotRun {
 		d.slotRequest.avoid[l.target.ID] = struct{}{}
-		d.suspect = d.suspect || failure.Code == outcome.TargetFailed
+		d.suspect = d.suspect || failure.Code.IsTargetFailure()
+	}
+	if failure.Code == outcome.TargetCrashed {
+		d.crashed++
 	}
 	d.server.cfg.Log.Info("attempt_failed", "request", d.request.id, "attempt", d.attempts,
 		"target", string(l.target.ID), "code", failure.Code.Name(), "outcome", failure.Outcome.String())
--- a/services/gateway/dispatch_test.go
+++ b/services/gateway/dispatch_test.go
@@ -59,6 +59,24 @@
 	require.EqualValues(t, 3, total)
 }
 
+// A request that may be the cause of crashes is not sent to a third target, also while
+// control cannot say so.
+func TestRequestThatCrashedTwoTargetsIsNotRetried(t *testing.T) {
+	agents := make([]*fakeAgent, 5)
+	targets := make([]fleet.Target, 5)
+	for i := range agents {
+		agents[i] = startAgent(t, refuseWith(outcome.TargetCrashed, outcome.MayHaveRun))
+		targets[i] = target(fmt.Sprint("e", i), "m1", agents[i])
+	}
+	g := startGateway(t, Config{State: newFakeState(t, targets...)})
+	requireCode(t, g.chat(t), outcome.TargetCrashed, outcome.MayHaveRun)
+	total := int64(0)
+	for _, a := range agents {
+		total += a.received.Load()
+	}
+	require.EqualValues(t, 2, total)
+}
+
 // Guards against a retry storm: while every target fails, the retry budget limits
 // retries to a fraction of the requests.
 func TestRetryBudgetDoesNotMultiplyLoad(t *testing.T) {
--- a/services/gateway/targets.go
+++ b/services/gateway/targets.go
@@ -205,7 +205,7 @@
 	case outcome.TargetCold:
 		l.load.ResetToCold()
 		l.load.Refused(l.table.now())
-	case outcome.TargetFailed, outcome.Unreachable, outcome.StreamBroken, outcome.Draining, outcome.TargetLeaving:
+	case outcome.TargetFailed, outcome.TargetCrashed, outcome.Unreachable, outcome.StreamBroken, outcome.Draining, outcome.TargetLeaving:
 		l.load.ResetToCold()
 	}
 }
