--- a/services/gateway/dispatch_test.go
+++ b/services/gateway/dispatch_test.go
@@ -42,13 +42,20 @@
 	}
 }
 
-func TestIdempotentIsRetriedElsewhereWithinMaxAttempts(t *testing.T) {
-	agents := make([]*fakeAgent, 5)
-	targets := make([]fleet.Target, 5)
+// failingAgents starts agents at which every request fails and may have run, each
+// with a target of the model m1.
+func failingAgents(t *testing.T, count int, code outcome.Code) ([]*fakeAgent, []fleet.Target) {
+	agents := make([]*fakeAgent, count)
+	targets := make([]fleet.Target, count)
 	for i := range agents {
-		agents[i] = startAgent(t, refuseWith(outcome.TargetFailed, outcome.MayHaveRun))
+		agents[i] = startAgent(t, refuseWith(code, outcome.MayHaveRun))
 		targets[i] = target(fmt.Sprint("e", i), "m1", agents[i])
 	}
+	return agents, targets
+}
+
+func TestIdempotentIsRetriedElsewhereWithinMaxAttempts(t *testing.T) {
+	agents, targets := failingAgents(t, 5, outcome.TargetFailed)
 	g := startGateway(t, Config{State: newFakeState(t, targets...)})
 	requireCode(t, g.chat(t), outcome.TargetFailed, outcome.MayHaveRun)
 	total := int64(0)
@@ -62,12 +69,7 @@
 // A request that may be the cause of crashes is not sent to a third target, also while
 // control cannot say so.
 func TestRequestThatCrashedTwoTargetsIsNotRetried(t *testing.T) {
-	agents := make([]*fakeAgent, 5)
-	targets := make([]fleet.Target, 5)
-	for i := range agents {
-		agents[i] = startAgent(t, refuseWith(outcome.TargetCrashed, outcome.MayHaveRun))
-		targets[i] = target(fmt.Sprint("e", i), "m1", agents[i])
-	}
+	agents, targets := failingAgents(t, 5, outcome.TargetCrashed)
 	g := startGateway(t, Config{State: newFakeState(t, targets...)})
 	requireCode(t, g.chat(t), outcome.TargetCrashed, outcome.MayHaveRun)
 	total := int64(0)
@@ -80,12 +82,7 @@
 // Guards against a retry storm: while every target fails, the retry budget limits
 // retries to a fraction of the requests.
 func TestRetryBudgetDoesNotMultiplyLoad(t *testing.T) {
-	agents := make([]*fakeAgent, 4)
-	targets := make([]fleet.Target, 4)
-	for i := range agents {
-		agents[i] = startAgent(t, refuseWith(outcome.TargetFailed, outcome.MayHaveRun))
-		targets[i] = target(fmt.Sprint("e", i), "m1", agents[i])
-	}
+	agents, targets := failingAgents(t, 4, outcome.TargetFailed)
 	g := startGateway(t, Config{State: newFakeState(t, targets...)})
 	const requests = 400
 	spent := 0
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -77,13 +76,6 @@
 	writer       conc.WaitGroup
 }
 
-// LimitObserver learns which rate limits targets name in their responses.
-type LimitObserver interface {
-	// ObserveLimit is told the requests per second that the target takes from all
-	// processes together; 0 means that its response named no limit.
-	ObserveLimit(now time.Time, target *roster.Record, perSecond float64)
-}
-
 // Client sends requests to targets and pools the connections. It is safe for
 // concurrent use.
 type Client struct {
@@ -169,24 +161,6 @@
 	return resp, nil
 }
 
-// observeLimit passes on the limit that a response names. Responses of another target
-// at the address and those that no target has signed tell nothing.
-func (c *Client) observeLimit(target *roster.Record, resp *Response) {
-	if resp.Status == http.StatusMisdirectedRequest || resp.Header.Get(c.headers.Signature) == "" && resp.Header.Get(c.headers.NotRun) == "" {
-		return
-	}
-	perSecond := 0.0
-	if value := resp.Header.Get(c.headers.RateLimit); value != "" {
-		var err error
-		perSecond, err = strconv.ParseFloat(strings.TrimSpace(value), 64)
-		if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
-			return
-		}
-		perSecond = max(perSecond, math.SmallestNonzeroFloat64) // 0 is a limit too
-	}
-	c.limits.ObserveLimit(time.Now(), target, perSecond)
-}
-
 // roundTrip writes the request and reads the header of its response, skipping
 // responses to other requests.
 func (c *Client) roundTrip(resp *Response, r *Request, encoded []byte) error {
