--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -40,9 +40,6 @@
 	CrashInAnswer   bool          // end the target once the response has begun, within its first event or its body
 }
 
-// rateLimitHeader names the requests per second that a target takes.
-const rateLimitHeader = "Server-Limit"
-
 // Run records one request that a stub target started to run.
 type Run struct {
 	ID           string // of the request
@@ -76,7 +73,7 @@
 func HeaderNames() targetcall.HeaderNames {
 	return targetcall.HeaderNames{
 		RequestID: "X-Id", Deadline: "X-Deadline", Expect: "X-Expect", Workspace: "X-Workspace", LastEventID: "Last-Event-Id",
-		NotRun: "X-Not-Run", Signature: "X-Signature", Key: "X-Key",
+		NotRun: "X-Not-Run", Signature: "X-Signature", RateLimit: "X-Rate-Limit", Key: "X-Key",
 	}
 }
 
@@ -140,7 +137,7 @@
 	behaviour := t.behaviour(id)
 	t.mu.Unlock()
 	if behaviour.RateLimit != "" {
-		w.Header().Set(rateLimitHeader, behaviour.RateLimit)
+		w.Header().Set(t.headers.RateLimit, behaviour.RateLimit)
 	}
 	if expected := r.Header.Get(t.headers.Expect); expected != "" && expected != t.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
