Read once more: prompt parts are hashed once a request, limit reports are built only when they are sent

Cause: written in passing. noteCompleted hashed the prompt parts that identify had hashed; each control stream built all limit reports every 100 ms for their sequence number alone; run took positions where its caller looks parts up by reference; two tests of the gateway summed what agents received in loops of their own.

Change: forwarding.promptParts keeps the references, Targets.LimitSequence stands beside LimitReports, run takes innocentParts.has as it is, totalReceived serves three tests. Behaviour and assertions are the same.

Checked: gofmt, vet, lint of the changed packages; tests with the race detector of core/placement, services/entry, follow, gateway, director; tests/site TestPromptPartCrashesTargetAfterTarget/card/40ms and TestPlainTargetsGetMoreThanTheirLimits.

--- a/core/placement/ratelimit.go
+++ b/core/placement/ratelimit.go
@@ -148,11 +148,18 @@
 	}
 }
 
-// LimitReports returns what this process has read, and the sequence of the newest
-// report.
-func (t *Targets) LimitReports(now time.Time) (reports []LimitReport, sequence uint64) {
+// LimitSequence returns the sequence of the newest report of this process.
+func (t *Targets) LimitSequence() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.limitSequence
+}
+
+// LimitReports returns what this process has read.
+func (t *Targets) LimitReports(now time.Time) []LimitReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var reports []LimitReport
 	for id, l := range t.limits {
 		age := now.Sub(l.readAt)
 		if t.byID[id] == nil || l.perSecond == 0 && age > limitRetention {
@@ -164,7 +171,7 @@
 				AgeMS: age.Milliseconds()})
 		}
 	}
-	return reports, t.limitSequence
+	return reports
 }
 
 // HasLimits reports whether any target of a service has a limit.
--- a/core/placement/ratelimit_test.go
+++ b/core/placement/ratelimit_test.go
@@ -74,10 +74,10 @@
 	assert.Equal(t, []float64{0, 5}, []float64{before, after})
 	assert.True(t, targets.HasLimits("llm"))
 	assert.False(t, targets.ApplyLimit(start.Add(time.Second), LimitReport{Target: "limited", Incarnation: 1, PerSecond: 9, AgeMS: 2000}), "an older reading")
-	reports, sequence := targets.LimitReports(start.Add(time.Second))
+	reports := targets.LimitReports(start.Add(time.Second))
 	require.Len(t, reports, 1)
 	assert.Equal(t, LimitReport{Target: "limited", Incarnation: 1, PerSecond: 5, Sequence: 2, AgeMS: 1000}, reports[0], "sent again, since the others have an older one")
-	assert.Equal(t, uint64(2), sequence)
+	assert.Equal(t, uint64(2), targets.LimitSequence())
 	assert.True(t, targets.ApplyLimit(start.Add(2*time.Second), LimitReport{Target: "limited", Incarnation: 1, PerSecond: 2}))
 	before, after = targets.ObserveLimit(start.Add(3*time.Second), limited, 0)
 	assert.Equal(t, []float64{2, 0}, []float64{before, after})
@@ -85,10 +85,10 @@
 	for range 100 {
 		assert.Equal(t, "limited", acquireAt(targets, 3*time.Second, Query{}))
 	}
-	reports, _ = targets.LimitReports(start.Add(4 * time.Second))
+	reports = targets.LimitReports(start.Add(4 * time.Second))
 	require.Len(t, reports, 1, "the others are told of the end")
 	assert.Zero(t, reports[0].PerSecond)
-	reports, _ = targets.LimitReports(start.Add(4*time.Second + limitRetention))
+	reports = targets.LimitReports(start.Add(4*time.Second + limitRetention))
 	assert.Empty(t, reports)
 }
 
@@ -106,7 +106,7 @@
 	assert.True(t, targets.HasLimits("llm"))
 	assert.False(t, targets.ApplyLimit(start, LimitReport{Target: "limited", Incarnation: 1, PerSecond: 9}))
 	targets.SetRecords(nil)
-	reports, _ := targets.LimitReports(start)
+	reports := targets.LimitReports(start)
 	assert.Empty(t, reports)
 }
 
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -11,6 +11,7 @@
 
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/placement"
+	"banyanwalk/core/quarantine"
 	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
 	"banyanwalk/infra/netpeek"
@@ -44,13 +45,14 @@
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
 	stopWatching func()
-	target       *roster.Record // target that has the request; nil: none
-	sentAfter    time.Duration  // from the start until the request went to its last target
-	headAfter    time.Duration  // from the start until the response header arrived
-	slot         *slot          // at target; nil: none
-	targetFailed bool           // the target failed or broke the connection
-	subjects     *subjects      // nil: not computed yet
-	known        assessment     // when the request was sent to target
+	target       *roster.Record   // target that has the request; nil: none
+	sentAfter    time.Duration    // from the start until the request went to its last target
+	headAfter    time.Duration    // from the start until the response header arrived
+	slot         *slot            // at target; nil: none
+	targetFailed bool             // the target failed or broke the connection
+	subjects     *subjects        // nil: not computed yet
+	parts        []quarantine.Ref // nil: not computed yet
+	known        assessment       // when the request was sent to target
 	response     *targetcall.Response
 }
 
@@ -282,8 +284,7 @@
 	target := f.target
 	f.releaseTarget()
 	if failure.Closed && failure.Outcome != outcome.NotRun && f.ctx.Err() == nil {
-		subjects := f.identify()
-		run := f.known.run(subjects, func(part int) bool { return s.suspects.innocent.has(subjects.parts[part]) })
+		run := f.known.run(f.identify(), s.suspects.innocent.has)
 		s.crashes.connectionClosed(f.ctx, &brokenRun{request: f.call.id, parts: f.call.parts, run: run, target: target, at: time.Now()})
 	}
 }
--- a/services/entry/suspicion.go
+++ b/services/entry/suspicion.go
@@ -27,12 +27,21 @@
 		workspace := f.call.workspaceName()
 		f.subjects = &subjects{
 			content: quarantine.Ref{Workspace: workspace, Digest: auth.RequestDigest(workspace, f.request.Host+f.request.URI, f.request.Body)},
-			parts:   auth.PromptPartRefs(workspace, f.call.parts),
+			parts:   f.promptParts(),
 		}
 	}
 	return f.subjects
 }
 
+// promptParts identifies the shared parts of the prompt. Unlike the content, they are
+// needed for each complete response.
+func (f *forwarding) promptParts() []quarantine.Ref {
+	if f.parts == nil {
+		f.parts = auth.PromptPartRefs(f.call.workspaceName(), f.call.parts)
+	}
+	return f.parts
+}
+
 // assessment is what is known of a request before it is sent.
 type assessment struct {
 	content     suspicion
@@ -53,12 +62,12 @@
 	return slices.ContainsFunc(a.parts, func(s suspicion) bool { return s.crashes >= probableCrashes })
 }
 
-// run returns the run that a crash of the target is recorded with. Parts that
-// complete elsewhere are left out.
-func (a *assessment) run(s *subjects, excluded func(part int) bool) quarantine.Run {
+// run returns the run that a crash of the target is recorded with, without the parts
+// that are innocent.
+func (a *assessment) run(s *subjects, innocent func(part quarantine.Ref) bool) quarantine.Run {
 	run := quarantine.Run{Ref: s.content, KnownCrashes: a.content.crashes}
 	for i, ref := range s.parts {
-		if excluded(i) {
+		if innocent(ref) {
 			continue
 		}
 		part := quarantine.RunPart{Digest: ref.Digest}
@@ -124,7 +133,7 @@
 func (f *forwarding) noteCompleted() {
 	s := f.server.suspects
 	if len(f.call.parts) > 0 {
-		s.innocent.add(f.call.started, auth.PromptPartRefs(f.call.workspaceName(), f.call.parts))
+		s.innocent.add(f.call.started, f.promptParts())
 	}
 	if s.empty() {
 		return
--- a/services/follow/feed.go
+++ b/services/follow/feed.go
@@ -106,7 +106,7 @@
 		timer.Reset(reportInterval)
 		loads := f.ownLoads(f.brokerID())
 		wantsPeerLoads := f.wantsPeerLoads(addr)
-		_, limitSequence := f.Targets.LimitReports(time.Now())
+		limitSequence := f.Targets.LimitSequence()
 		if maps.Equal(loads, sentLoads) && limitSequence == sentLimitSequence && wantsPeerLoads == sentWantsPeerLoads && time.Since(sentAt) < idleReportInterval {
 			continue
 		}
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -229,7 +229,6 @@
 		member.Storage = f.cfg.Storage()
 	}
 	broker := f.brokerID()
-	limits, _ := f.Targets.LimitReports(time.Now())
 	return rpc.MemberLoad{
 		Member:   member,
 		Sequence: f.sequence.Add(1),
@@ -237,7 +236,7 @@
 		Loads:    f.ownLoads(broker),
 		Debts:    f.Buckets.Debts(time.Now()),
 		BrokerID: broker,
-		Limits:   limits,
+		Limits:   f.Targets.LimitReports(time.Now()),
 	}
 }
 
--- a/services/gateway/dispatch_test.go
+++ b/services/gateway/dispatch_test.go
@@ -54,16 +54,23 @@
 	return agents, targets
 }
 
+// totalReceived returns how many requests agents have received together.
+func totalReceived(agents []*fakeAgent) int64 {
+	total := int64(0)
+	for _, a := range agents {
+		total += a.received.Load()
+	}
+	return total
+}
+
 func TestIdempotentIsRetriedElsewhereWithinMaxAttempts(t *testing.T) {
 	agents, targets := failingAgents(t, 5, outcome.TargetFailed)
 	g := startGateway(t, Config{State: newFakeState(t, targets...)})
 	requireCode(t, g.chat(t), outcome.TargetFailed, outcome.MayHaveRun)
-	total := int64(0)
 	for _, a := range agents {
 		require.LessOrEqual(t, a.received.Load(), int64(1))
-		total += a.received.Load()
 	}
-	require.EqualValues(t, 3, total)
+	require.EqualValues(t, 3, totalReceived(agents))
 }
 
 // A request that may be the cause of crashes is not sent to a third target, also while
@@ -72,11 +79,7 @@
 	agents, targets := failingAgents(t, 5, outcome.TargetCrashed)
 	g := startGateway(t, Config{State: newFakeState(t, targets...)})
 	requireCode(t, g.chat(t), outcome.TargetCrashed, outcome.MayHaveRun)
-	total := int64(0)
-	for _, a := range agents {
-		total += a.received.Load()
-	}
-	require.EqualValues(t, 2, total)
+	require.EqualValues(t, 2, totalReceived(agents))
 }
 
 // Guards against a retry storm: while every target fails, the retry budget limits
@@ -91,10 +94,7 @@
 			spent++
 		}
 	}
-	total := int64(0)
-	for _, a := range agents {
-		total += a.received.Load()
-	}
+	total := totalReceived(agents)
 	require.LessOrEqual(t, total, int64(requests+requests/10+10))
 	require.Positive(t, spent)
 }
