core/raft, services/control/replica: heartbeats go on while the disk is busy

Ruled out: a longer election timeout; it would delay each election after a real loss. Change: saves run in a goroutine of their own. Between Ready and Advance the consensus handles heartbeats, their answers, acknowledgements and read requests, and sends what promises nothing beyond the synced term.

--- a/core/raft/doc.go
+++ b/core/raft/doc.go
@@ -18,8 +18,10 @@
 //   - Ready.MessagesBeforeSync may be sent before the sync. It holds only what
 //     the leader of an already synced term sends to replicate its log; the leader
 //     counts its own copy only after Advance.
-//   - Advance is called for each Ready once it is saved, with no other call in
-//     between.
+//   - Advance is called for each Ready once it is saved. In between only
+//     TickWhileSaving, TransferLeadership, Status and MessagesWhileSaving may be
+//     called, and Step with the types that MayStepWhileSaving allows. The result
+//     of MessagesWhileSaving may be sent at once.
 //   - Step gets a now that was read after the message had arrived. now never
 //     decreases and follows the host's monotonic clock. The clock rates of all
 //     hosts differ by at most leaseMarginPercent.
--- a/core/raft/histories_test.go
+++ b/core/raft/histories_test.go
@@ -80,6 +80,10 @@
 	case 12:
 		if s.isRunning(h) && h.raft.TransferLeadership(s.now) {
 			s.stats.transfers++
+			if h.saving != nil {
+				s.sendWhileSaving(h)
+				return
+			}
 			s.process(h)
 		}
 	}
@@ -106,6 +110,9 @@
 	case !s.isRunning(h):
 		s.after(s.delayUntilThawed(h), nil, func() { s.sendRequestTo(h) })
 		return
+	case h.saving != nil:
+		s.after(simTick, nil, func() { s.sendRequestTo(h) })
+		return
 	}
 	if s.rng.IntN(3) == 0 {
 		s.read(h)
@@ -144,7 +151,7 @@
 // command, or 0 if there is no such leader.
 func (s *sim) proposeOnLeader() uint64 {
 	for _, h := range s.hosts {
-		if s.isRunning(h) && !h.raft.LeaseUntil().IsZero() {
+		if s.isRunning(h) && h.saving == nil && !h.raft.LeaseUntil().IsZero() {
 			s.propose(h)
 			s.process(h)
 			return s.lastCommandID
@@ -223,6 +230,7 @@
 		total.transfers += s.transfers
 		total.crashes += s.crashes
 		total.elections += s.elections
+		total.slowSaves += s.slowSaves
 		longest = max(longest, s.snapshots)
 		return false
 	})
@@ -239,8 +247,9 @@
 		unconfirmedReads:   "unconfirmed reads",
 		prematureBootstrap: "premature bootstrap",
 		prematurePromotion: "premature promotion",
+		unsavedPromises:    "unsaved promises",
 	}
-	for v := reusedIncarnation; v <= prematurePromotion; v++ {
+	for v := reusedIncarnation; v <= unsavedPromises; v++ {
 		t.Run(names[v], func(t *testing.T) {
 			ran, found := 0, 0
 			var last error
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -119,6 +119,7 @@
 	readStates       []ReadState
 	receivedSnapshot *Snapshot // installed from the leader, not yet returned by Ready
 	savedHardState   HardState // last HardState returned by Ready
+	syncedHardState  HardState // last HardState for which Advance was called
 }
 
 // New returns a replica in the state recovered from its data directory.
@@ -131,14 +132,15 @@
 		return nil, err
 	}
 	r := &Raft{
-		cfg:            cfg,
-		id:             cfg.ID,
-		now:            cfg.Now,
-		term:           cfg.HardState.Term,
-		vote:           cfg.HardState.Vote,
-		log:            log,
-		blankPeers:     map[uint64]blankPeer{},
-		savedHardState: cfg.HardState,
+		cfg:             cfg,
+		id:              cfg.ID,
+		now:             cfg.Now,
+		term:            cfg.HardState.Term,
+		vote:            cfg.HardState.Vote,
+		log:             log,
+		blankPeers:      map[uint64]blankPeer{},
+		savedHardState:  cfg.HardState,
+		syncedHardState: cfg.HardState,
 	}
 	if !cfg.AwaitData {
 		r.dataIndex = math.MaxUint64
--- a/core/raft/ready.go
+++ b/core/raft/ready.go
@@ -96,6 +96,9 @@
 
 // Advance reports that everything in the last Ready is saved and synced.
 func (r *Raft) Advance(ready Ready) {
+	if ready.HardState != nil {
+		r.syncedHardState = *ready.HardState
+	}
 	if n := len(ready.Entries); n > 0 {
 		r.log.stable = ready.Entries[n-1].Index
 	}
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -23,6 +23,7 @@
 	unconfirmedReads           // the leader answers reads without a heartbeat round
 	prematureBootstrap         // every response to a probe reports a blank peer
 	prematurePromotion         // learners are promoted before they have caught up
+	unsavedPromises            // while the disk works, votes and acknowledgements are sent too
 )
 
 // disk is the state that a host has synced.
@@ -59,6 +60,7 @@
 	disk        disk
 	raft        *Raft // nil while the process is down
 	frozenUntil time.Time
+	saving      *Ready // being written by a slow disk, nil if there is none
 	applied     uint64
 	state       []byte // commands applied, 8 bytes each
 	proposed    map[uint64]uint64
@@ -111,6 +113,7 @@
 	maxDelay            time.Duration
 	snapshotInterval    uint64 // in entries
 	crashRate           float64
+	slowSaveRate        float64 // share of the syncs that take time
 	faults              bool
 	checks              *checks
 	lastCommandID       uint64
@@ -120,7 +123,7 @@
 
 // simStats counts the events of a history.
 type simStats struct {
-	acknowledged, reads, snapshots, installs, diskLosses, secondLosses, bootstrapLosses, transfers, crashes, elections int
+	acknowledged, reads, snapshots, installs, diskLosses, secondLosses, bootstrapLosses, transfers, crashes, elections, slowSaves int
 }
 
 func newSim(seed uint64, v variant) *sim {
@@ -138,6 +141,9 @@
 	if seed%5 == 2 {
 		s.crashRate *= 10
 	}
+	if seed%3 == 1 {
+		s.slowSaveRate = rng.Float64() * 0.2
+	}
 	for i := range size {
 		s.peers = append(s.peers, uint64(i+1))
 	}
@@ -158,6 +164,7 @@
 		incarnation = h.disk.incarnation
 	}
 	h.disk = disk{incarnation: incarnation}
+	h.saving = nil
 }
 
 func (s *sim) start(h *simHost) {
@@ -176,7 +183,7 @@
 		s.checks.fail("start of %d: %v", h.id, err)
 		return
 	}
-	h.raft, h.frozenUntil = r, time.Time{}
+	h.raft, h.frozenUntil, h.saving = r, time.Time{}, nil
 	h.applied = h.disk.snapshot.Index
 	h.state = h.disk.snapshot.Data
 	h.proposed, h.reads = map[uint64]uint64{}, map[uint64]*simRead{}
@@ -190,7 +197,12 @@
 func (s *sim) tickLater(h *simHost) {
 	s.after(simTick, nil, func() {
 		s.tickLater(h)
-		if s.isRunning(h) {
+		switch {
+		case !s.isRunning(h):
+		case h.saving != nil:
+			h.raft.TickWhileSaving(s.now)
+			s.sendWhileSaving(h)
+		default:
 			h.raft.Tick(s.now)
 			s.process(h)
 		}
@@ -228,14 +240,29 @@
 		// The message waits in the socket buffer of the frozen process.
 		s.after(s.delayUntilThawed(h), m, nil)
 		return
+	case h.saving != nil && !MayStepWhileSaving(m.Type):
+		s.after(simTick, m, nil)
+		return
 	}
 	if s.variant == prematureBootstrap && m.Type == MsgProbeResp {
 		m.Blank = true
 	}
 	h.raft.Step(s.now, *m)
+	if h.saving != nil {
+		s.sendWhileSaving(h)
+		return
+	}
 	s.process(h)
 }
 
+func (s *sim) sendWhileSaving(h *simHost) {
+	if s.variant == unsavedPromises {
+		s.send(h.raft.msgs)
+		s.send(h.saving.Messages)
+	}
+	s.send(h.raft.MessagesWhileSaving())
+}
+
 func (s *sim) send(messages []Message) {
 	for i := range messages {
 		m := messages[i]
@@ -272,16 +299,47 @@
 		if ready.MustSync && s.crashNow(h) {
 			return // as with a torn write, nothing of this Ready is saved
 		}
-		h.disk.save(ready)
-		if s.crashNow(h) {
+		if ready.MustSync && s.faults && s.rng.Float64() < s.slowSaveRate {
+			s.saveSlowly(h, ready)
 			return
 		}
-		h.raft.Advance(ready)
-		if s.variant != sendBeforeSync {
-			s.send(ready.Messages)
-		}
-		s.apply(h, ready)
+		s.finishSave(h, ready)
+	}
+}
+
+// finishSave saves a Ready and does what its caller does after the sync, with a
+// random crash in between.
+func (s *sim) finishSave(h *simHost, ready Ready) {
+	h.disk.save(ready)
+	if s.crashNow(h) {
+		return
+	}
+	h.raft.Advance(ready)
+	if s.variant != sendBeforeSync {
+		s.send(ready.Messages)
+	}
+	s.apply(h, ready)
+}
+
+// saveSlowly finishes a save after up to two election timeouts. A crash before
+// that leaves the disk with or without it.
+func (s *sim) saveSlowly(h *simHost, ready Ready) {
+	s.stats.slowSaves++
+	h.saving = &ready
+	s.after(time.Duration(s.rng.Int64N(int64(2*simElection))), nil, func() { s.wakeFromSave(h, &ready) })
+}
+
+func (s *sim) wakeFromSave(h *simHost, ready *Ready) {
+	switch {
+	case h.saving != ready:
+		return // the process or the disk is another one by now
+	case !s.isRunning(h):
+		s.after(s.delayUntilThawed(h), nil, func() { s.wakeFromSave(h, ready) })
+		return
 	}
+	h.saving = nil
+	s.finishSave(h, *ready)
+	s.process(h)
 }
 
 func (s *sim) crashNow(h *simHost) bool {
@@ -297,7 +355,10 @@
 		return
 	}
 	s.stats.crashes++
-	h.raft = nil
+	if h.saving != nil && s.rng.IntN(2) == 0 {
+		h.disk.save(*h.saving)
+	}
+	h.raft, h.saving = nil, nil
 	down := 30 * time.Millisecond
 	if s.rng.IntN(2) == 0 {
 		down = 1500 * time.Millisecond
--- a/services/control/replica/loop.go
+++ b/services/control/replica/loop.go
@@ -17,8 +17,6 @@
 	maxQueuedProposals = 1 << 16 // further commands are rejected
 	maxQueuedReads     = 1 << 16 // further reads are rejected
 	ticksPerHeartbeat  = 4       // clock ticks per heartbeat interval
-	// slowSync is the duration from which on a sync of the disk is logged.
-	slowSync = 200 * time.Millisecond
 )
 
 // Run runs the replica until ctx ends, then closes its files. A leader first
@@ -35,11 +33,13 @@
 		}
 	})
 	wg.Go(func() { r.writeSnapshots(runCtx, cancel) })
+	wg.Go(r.saver.run)
 	if err := r.loop(runCtx); err != nil {
 		cancel(err)
 	}
 	cancel(nil)
 	r.applier.close()
+	r.saver.close()
 	wg.Wait()
 	r.failPendingCalls()
 	err := r.wal.Close()
@@ -116,7 +116,8 @@
 // between, a voter's lease promise to the leader would otherwise start before
 // the message that it responds to was sent.
 func (r *Replica) stepMessages() {
-	messages := r.inbox.take()
+	messages := append(r.deferred, r.inbox.take()...)
+	r.deferred = nil
 	now := time.Now()
 	for _, m := range messages {
 		r.core.Step(now, m)
@@ -183,18 +184,6 @@
 	return nil
 }
 
-// save syncs a batch to disk. The consensus waits meanwhile, heartbeats included, so a
-// slow disk can cost a leader its leadership.
-func (r *Replica) save(batch wal.Batch) error {
-	started := time.Now()
-	err := r.wal.Save(batch)
-	if took := time.Since(started); took > slowSync {
-		r.event("disk_sync_slow", "took_ms", took.Milliseconds(), "entries", len(batch.Entries), "leads", r.core.Status().Role == raft.Leader,
-			"election_timeout_ms", r.cfg.ElectionTimeout.Milliseconds())
-	}
-	return err
-}
-
 // enqueueCommitted passes committed entries, a received snapshot and confirmed
 // reads to the applier.
 func (r *Replica) enqueueCommitted(ready raft.Ready) {
--- a/services/control/replica/replica.go
+++ b/services/control/replica/replica.go
@@ -19,7 +19,9 @@
 	id                    raft.ReplicaID
 	transport             Transport
 	wal                   *wal.Log
-	core                  *raft.Raft // owned by the loop
+	saver                 *saver
+	core                  *raft.Raft     // owned by the loop
+	deferred              []raft.Message // received while the disk was busy; owned by the loop
 	applier               *applier
 	pending               *pendingProposals
 	readCalls             *queue[*readCall]
@@ -86,6 +88,7 @@
 		id:                id,
 		transport:         t,
 		wal:               log,
+		saver:             newSaver(log.Save),
 		core:              core,
 		pending:           &pendingProposals{byIndex: map[uint64]*proposal{}},
 		readCalls:         newQueue[*readCall](maxQueuedReads),
--- a/services/control/replica/replica_test.go
+++ b/services/control/replica/replica_test.go
@@ -83,6 +83,8 @@
 	peers []uint64
 	cfg   Config
 	wg    conc.WaitGroup
+	// opened is called with each replica before it runs.
+	opened func(id uint64, r *Replica)
 }
 
 const waitTimeout = time.Minute // bounds every wait; only a test that hangs reaches it
@@ -91,18 +93,39 @@
 	return newClusterWith(t, cfg, func() StateMachine { return &recordingStateMachine{} })
 }
 
+// newClusterOpened is newCluster with a function that is called with each replica
+// before it runs.
+func newClusterOpened(t testing.TB, cfg Config, opened func(uint64, *Replica)) *cluster {
+	c := makeCluster(t, cfg, func() StateMachine { return &recordingStateMachine{} })
+	c.opened = opened
+	c.startAll()
+	return c
+}
+
 func newClusterWith(t testing.TB, cfg Config, machine func() StateMachine) *cluster {
-	c := &cluster{t: t, make: machine, net: &network{nodes: map[uint64]*node{}}, dir: t.TempDir(), peers: []uint64{1, 2, 3}, cfg: cfg}
+	c := makeCluster(t, cfg, machine)
+	c.startAll()
+	return c
+}
+
+func makeCluster(t testing.TB, cfg Config, machine func() StateMachine) *cluster {
+	return &cluster{
+		t: t, make: machine, net: &network{nodes: map[uint64]*node{}}, dir: t.TempDir(), peers: []uint64{1, 2, 3}, cfg: cfg,
+		opened: func(uint64, *Replica) {},
+	}
+}
+
+// startAll starts the replicas, which run until the end of the test.
+func (c *cluster) startAll() {
 	for _, id := range c.peers {
 		c.start(id)
 	}
-	t.Cleanup(func() {
+	c.t.Cleanup(func() {
 		for _, id := range c.peers {
 			c.stop(id)
 		}
 		c.wg.Wait()
 	})
-	return c
 }
 
 func (c *cluster) dataDir(id uint64) string { return filepath.Join(c.dir, fmt.Sprint(id)) }
@@ -114,6 +137,7 @@
 	var err error
 	n.replica, err = Open(cfg, n.sm, memoryTransport{net: c.net, from: id})
 	require.NoError(c.t, err)
+	c.opened(id, n.replica)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	c.net.mu.Lock()
