services/entry: the pause after a silent broker does not follow the time of day

Cause: the end of the pause was kept as a time of day; after a jump back by hours a gateway would have asked no broker for hours and placed requests by its own view. Ruled out: other uses on the path of a request; all others are differences of monotonic readings. Change: the end is counted from the start of the process.

--- a/services/entry/slots.go
+++ b/services/entry/slots.go
@@ -33,7 +33,8 @@
 	follower      *follow.Follower
 	jobs          *jobClient
 	lastNumber    atomic.Uint64
-	brokerRetryAt atomic.Int64 // no requests to the broker until then, Unix nanoseconds
+	started       time.Time
+	brokerRetryAt atomic.Int64 // no requests to the broker until then, nanoseconds since started
 	releases      chan release
 }
 
@@ -54,7 +55,7 @@
 }
 
 func newSlots(f *follow.Follower, jobs *jobClient) *slots {
-	return &slots{follower: f, jobs: jobs, releases: make(chan release, releaseQueue)}
+	return &slots{follower: f, jobs: jobs, started: time.Now(), releases: make(chan release, releaseQueue)}
 }
 
 // acquire returns a slot, or the reason why there is none.
@@ -83,8 +84,7 @@
 // askBroker asks the broker for a slot. It returns neither a slot nor a failure
 // if there is no broker or its grant cannot be used.
 func (s *slots) askBroker(ctx context.Context, request *rpc.SlotRequest, q placement.Query) (*slot, *outcome.Error) {
-	now := time.Now()
-	if now.UnixNano() < s.brokerRetryAt.Load() {
+	if s.brokerPaused() {
 		return nil, nil
 	}
 	hosts := s.follower.StorageHosts()
@@ -105,7 +105,7 @@
 	}
 	granted := &slot{brokered: true, broker: hosts[0], id: request.ID, total: grant.Total}
 	if err != nil {
-		s.brokerRetryAt.Store(now.Add(brokerRetryInterval).UnixNano())
+		s.pauseBroker()
 		s.queueRelease(granted, "") // the grant may still arrive
 		return nil, nil
 	}
@@ -116,6 +116,16 @@
 	return granted, nil
 }
 
+// brokerPaused reports whether the broker is not to be asked yet. The time since
+// the start doesn't jump with the time of day.
+func (s *slots) brokerPaused() bool {
+	return int64(time.Since(s.started)) < s.brokerRetryAt.Load()
+}
+
+func (s *slots) pauseBroker() {
+	s.brokerRetryAt.Store(int64(time.Since(s.started) + brokerRetryInterval))
+}
+
 // release frees a slot. failed reports that the target failed or broke the
 // connection.
 func (s *slots) release(used *slot, failed bool) {
