--- a/core/batch/doc.go
+++ b/core/batch/doc.go
@@ -1,6 +1,6 @@
 // Package batch implements the replicated state machine of one work group: its
 // input files, batch jobs, the leases under which agents run items, and the
-// results. It is deterministic: commands carry wall-clock time, and the same
+// results. It is deterministic: commands carry the time of their group's clock, and the same
 // commands in the same order lead to the same state on every replica. It opens
 // no file or socket, starts no goroutine and reads no clock.
 //
--- a/core/batch/lease.go
+++ b/core/batch/lease.go
@@ -126,12 +126,13 @@
 func (m *Machine) leaseDetails(l *lease) Lease {
 	j := l.job
 	d := Lease{
-		ID:         l.id(),
-		Workspace:  j.Workspace,
-		Template:   j.templates[j.items[l.item].template],
-		Input:      j.inputSlices(l.item),
-		DeadlineMS: l.deadline,
-		DueMS:      j.DueMS,
+		ID:          l.id(),
+		Workspace:   j.Workspace,
+		Template:    j.templates[j.items[l.item].template],
+		Input:       j.inputSlices(l.item),
+		DeadlineMS:  l.deadline,
+		RemainingMS: j.DueMS - l.grantedAt,
+		DueMS:       j.DueMS,
 
 		LastFailure: outcome.Code(j.items[l.item].code),
 	}
--- a/core/batch/machine.go
+++ b/core/batch/machine.go
@@ -98,7 +98,7 @@
 // Now returns the latest command time, Unix milliseconds.
 func (m *Machine) Now() int64 { return m.now }
 
-// Apply executes one command at the proposer's wall-clock time nowMS. The
+// Apply executes one command at nowMS, the time of the proposer's group clock. The
 // machine's time never moves back: an earlier nowMS has no effect on it.
 func (m *Machine) Apply(nowMS int64, c *Command) Result {
 	m.now = max(m.now, nowMS)
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -150,7 +150,12 @@
 	Input      []Slice  `msgpack:"n"` // the item's line of the input file
 	Progress   *Slice   `msgpack:"p"` // partial output of a preempted attempt; nil: none
 	DeadlineMS int64    `msgpack:"d"` // Unix milliseconds
-	DueMS      int64    `msgpack:"u"` // due time of the job, Unix milliseconds
+	// RemainingMS is the time left until the job is due when the lease was granted.
+	// Earlier builds don't send it.
+	RemainingMS int64 `msgpack:"m,omitempty"`
+	// DueMS is the due time of the job, Unix milliseconds, for agents of earlier
+	// builds, which compare it with their time of day.
+	DueMS int64 `msgpack:"u"`
 
 	// LastFailure is the code of the latest counted attempt that failed; 0: none.
 	// After a failure of the target the item itself may have crashed the target.
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -51,7 +51,7 @@
 
 // ReportRuns reports how requests ended that may crash targets.
 type ReportRuns struct {
-	AtMS      int64            `msgpack:"a"`           // wall clock of the proposer, milliseconds since 1970
+	AtMS      int64            `msgpack:"a"`           // time of the proposer's group clock, milliseconds since 1970
 	Crashes   []CrashReport    `msgpack:"c,omitempty"` // runs that ended with a crash
 	Completed []quarantine.Ref `msgpack:"d,omitempty"` // suspects that ran to a complete response
 }
@@ -64,7 +64,20 @@
 
 // ExpireVerdicts applies the times to live of verdicts.
 type ExpireVerdicts struct {
-	AtMS int64 `msgpack:"a"` // wall clock of the proposer, milliseconds since 1970
+	AtMS int64 `msgpack:"a"` // time of the proposer's group clock, milliseconds since 1970
+}
+
+// AtMS returns the time of a command that carries one, else 0, in milliseconds
+// since 1970.
+func (c *Command) AtMS() int64 {
+	switch {
+	case c.Runs != nil:
+		return c.Runs.AtMS
+	case c.Expire != nil:
+		return c.Expire.AtMS
+	default:
+		return 0
+	}
 }
 
 // Retirement is the state of a storage host that is being decommissioned: its
--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -13,7 +13,7 @@
 type Command struct {
 	Client         string           `msgpack:"c,omitempty"` // together with RequestID the idempotency key
 	RequestID      string           `msgpack:"r,omitempty"` // empty: the command is idempotent by itself
-	AtMS           int64            `msgpack:"a"`           // wall clock of the proposer, milliseconds since 1970
+	AtMS           int64            `msgpack:"a"`           // time of the proposer's group clock, milliseconds since 1970
 	Roll           *RollBundle      `msgpack:"b,omitempty"`
 	Mark           *SetMark         `msgpack:"m,omitempty"`
 	Register       *RegisterTargets `msgpack:"t,omitempty"`
--- a/core/fleet/machine.go
+++ b/core/fleet/machine.go
@@ -120,6 +120,16 @@
 // Verdicts returns all verdicts in force, sorted by request.
 func (m *Machine) Verdicts() []quarantine.Verdict { return m.verdicts.All() }
 
+// LatestMS returns the latest time that the state holds, or 0, in milliseconds
+// since 1970.
+func (m *Machine) LatestMS() int64 {
+	latest := m.verdicts.LatestMS()
+	for i := range m.history {
+		latest = max(latest, m.history[i].AtMS)
+	}
+	return latest
+}
+
 // HasExpiredVerdicts reports whether an ExpireVerdicts command at nowMS would
 // change anything.
 func (m *Machine) HasExpiredVerdicts(nowMS int64) bool { return m.verdicts.HasExpired(nowMS) }
--- a/core/idempotency/table.go
+++ b/core/idempotency/table.go
@@ -116,8 +116,8 @@
 	return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Name, b.Name))
 }
 
-// Apply executes one command at nowMS, the proposer's wall clock in Unix
-// milliseconds. A time earlier than that of a previous command counts as the
+// Apply executes one command at nowMS, the time of the proposer's group clock
+// in Unix milliseconds. A time earlier than that of a previous command counts as the
 // previous one.
 func (t *Table) Apply(nowMS int64, c *Command) Result {
 	t.now = max(t.now, nowMS)
--- a/core/quarantine/verdicts.go
+++ b/core/quarantine/verdicts.go
@@ -138,6 +138,19 @@
 	return change
 }
 
+// LatestMS returns the time of the latest crash that is known, or 0, in
+// milliseconds since 1970.
+func (q *Verdicts) LatestMS() int64 {
+	latest := int64(0)
+	for _, record := range q.records {
+		latest = max(latest, record.LastCrashMS)
+	}
+	if n := len(q.runCrashes); n > 0 {
+		latest = max(latest, q.runCrashes[n-1].AtMS)
+	}
+	return latest
+}
+
 // HasExpired reports whether Expire at nowMS would change anything.
 func (q *Verdicts) HasExpired(nowMS int64) bool {
 	for _, record := range q.records {
--- a/services/agent/puller/answer.go
+++ b/services/agent/puller/answer.go
@@ -21,6 +21,15 @@
 	payload    []byte
 }
 
+// untilDue returns the time left until the item's job is due.
+func (it *item) untilDue(now time.Time) time.Duration {
+	lease := &it.pulled.Lease
+	if lease.RemainingMS == 0 {
+		return time.Duration(lease.DueMS-now.UnixMilli()) * time.Millisecond
+	}
+	return time.Duration(lease.RemainingMS)*time.Millisecond - now.Sub(it.receivedAt)
+}
+
 // executeRequest builds the request that runs the item on a target.
 func (it *item) executeRequest(t fleet.Target, now time.Time) (rpc.ExecuteOpen, error) {
 	lease := &it.pulled.Lease
@@ -31,7 +40,7 @@
 		}
 		it.call = call
 	}
-	timeout := min(lease.Template.TimeoutMS, lease.DueMS-now.UnixMilli())
+	timeout := min(lease.Template.TimeoutMS, it.untilDue(now).Milliseconds())
 	if timeout <= 0 {
 		return rpc.ExecuteOpen{}, outcome.New(outcome.JobExpired, outcome.NotRun, "the batch is past its completion window")
 	}
--- a/services/agent/puller/pull.go
+++ b/services/agent/puller/pull.go
@@ -184,7 +184,7 @@
 	if _, known := p.held[id]; known {
 		return
 	}
-	it := &item{pulled: *pulled, readyAt: now}
+	it := &item{pulled: *pulled, receivedAt: now, readyAt: now}
 	if len(p.held) == 0 {
 		p.lastRenewal = now
 	}
--- a/services/agent/puller/puller_test.go
+++ b/services/agent/puller/puller_test.go
@@ -248,3 +248,15 @@
 	stop()
 	b.ReportMetric(float64(s.busyTime)/float64(elapsed*slots), "busy-share")
 }
+
+// The time of day of an agent may jump: only the time since the lease counts.
+func TestTimeUntilDueFollowsNoTimeOfDay(t *testing.T) {
+	received := time.Now()
+	farAhead := received.Add(-5 * time.Hour).UnixMilli()
+	it := &item{receivedAt: received}
+	it.pulled.Lease.RemainingMS = 10_000
+	it.pulled.Lease.DueMS = farAhead
+	require.Equal(t, 7*time.Second, it.untilDue(received.Add(3*time.Second)))
+	it.pulled.Lease.RemainingMS = 0
+	require.Negative(t, it.untilDue(received), "control of an earlier build names only the time of day")
+}
--- a/services/agent/puller/run.go
+++ b/services/agent/puller/run.go
@@ -40,6 +40,7 @@
 type item struct {
 	pulled             rpc.PulledItem
 	state              itemState
+	receivedAt         time.Time
 	readyAt            time.Time
 	cancelRun          context.CancelCauseFunc // while running
 	runs               int                     // runs started under this lease
--- a/services/control/membership.go
+++ b/services/control/membership.go
@@ -185,7 +185,8 @@
 	}
 	m.lastVerdictExpiry = now
 	due := false
-	m.server.configState.read(func(machine *fleet.Machine) { due = machine.HasExpiredVerdicts(now.UnixMilli()) })
+	nowMS := m.server.configState.clock.NowMS()
+	m.server.configState.read(func(machine *fleet.Machine) { due = machine.HasExpiredVerdicts(nowMS) })
 	if !due {
 		return
 	}
--- a/services/control/state.go
+++ b/services/control/state.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
+	"banyanwalk/infra/logclock"
 	"banyanwalk/infra/telemetry"
 )
 
@@ -20,7 +20,8 @@
 // replica.StateMachine and can also be read by other goroutines than the one
 // that applies commands.
 type configState struct {
-	log *telemetry.Log
+	log   *telemetry.Log
+	clock logclock.Clock
 
 	mu      sync.RWMutex
 	machine *fleet.Machine
@@ -49,6 +50,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.clock.Observe(decoded.AtMS)
 	previousRevision := c.machine.Revision()
 	result := c.machine.Apply(index, decoded)
 	if c.machine.Revision() != previousRevision {
@@ -74,6 +76,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.machine = fleet.FromState(state)
+	c.clock.Observe(c.machine.LatestMS())
 	c.publishView()
 	return nil
 }
@@ -129,7 +132,7 @@
 // propose replicates a command and returns its result. If the machine rejects
 // the command, propose returns that as the error.
 func (s *Server) propose(ctx context.Context, c fleet.Command) (*fleet.Result, error) {
-	c.AtMS = time.Now().UnixMilli()
+	c.AtMS = s.configState.clock.NowMS()
 	encoded, err := msgpack.Marshal(&c)
 	if err != nil {
 		return nil, outcome.New(outcome.Internal, outcome.NotRun, "encode command: %v", err)
--- a/services/control/workgroup/group.go
+++ b/services/control/workgroup/group.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -11,12 +10,13 @@
 	"banyanwalk/core/batch"
 	"banyanwalk/core/idempotency"
 	"banyanwalk/core/outcome"
+	"banyanwalk/infra/logclock"
 	"banyanwalk/services/control/replica"
 )
 
 // command is one log entry of a group. Exactly one of Batch and Key is set.
 type command struct {
-	NowMS int64                `msgpack:"n"` // wall clock of the proposer, Unix milliseconds
+	NowMS int64                `msgpack:"n"` // time of the proposer's group clock, Unix milliseconds
 	Batch *batch.Command       `msgpack:"b,omitempty"`
 	Key   *idempotency.Command `msgpack:"k,omitempty"`
 }
@@ -32,6 +32,7 @@
 type group struct {
 	id      uint32
 	replica *replica.Replica
+	clock   logclock.Clock
 
 	mu             sync.RWMutex
 	batch          *batch.Machine
@@ -58,6 +59,7 @@
 	if err := msgpack.Unmarshal(encoded, &c); err != nil {
 		return outcome.New(outcome.Internal, outcome.NotRun, "decode command: %v", err)
 	}
+	g.clock.Observe(c.NowMS)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c.Key != nil {
@@ -105,6 +107,7 @@
 		return err
 	}
 	g.keys.Restore(s.Keys)
+	g.clock.Observe(max(s.Batch.NowMS, s.Keys.NowMS))
 	g.batch.ReferencedRecords(func(ref batch.Ref) { g.requireRecords(ref) })
 	g.keys.Responses(func(ref batch.Ref) { g.requireRecords(ref) })
 	g.notifyWaiters()
@@ -128,7 +131,7 @@
 // propose replicates a command and returns the result of applying it. An *outcome.Error
 // returned by Apply becomes the error.
 func (g *group) propose(ctx context.Context, c command) (any, error) {
-	c.NowMS = time.Now().UnixMilli()
+	c.NowMS = g.clock.NowMS()
 	encoded, err := msgpack.Marshal(&c)
 	if err != nil {
 		return nil, outcome.New(outcome.Internal, outcome.NotRun, "encode command: %v", err)
--- a/services/control/workgroup/items.go
+++ b/services/control/workgroup/items.go
@@ -214,7 +214,7 @@
 	if err != nil {
 		return nil, err
 	}
-	renewBeforeMS := time.Now().UnixMilli() + request.LeaseMS/2
+	renewBeforeMS := g.clock.NowMS() + request.LeaseMS/2
 	var stopped []batch.StoppedItem
 	needed := false
 	g.read(func(m *batch.Machine) { stopped, needed = m.CheckLeases(request.Agent, request.Items, renewBeforeMS) })
--- a/services/control/workgroup/leader.go
+++ b/services/control/workgroup/leader.go
@@ -36,7 +36,7 @@
 			if !leads {
 				continue
 			}
-			s.proposeTick(ctx, g, now, now.Sub(leadingSince) < leaseGrace)
+			s.proposeTick(ctx, g, now.Sub(leadingSince) < leaseGrace)
 			if now.Sub(lastWeightSync) >= weightSyncInterval {
 				lastWeightSync = now
 				s.syncWeights(ctx, g)
@@ -47,9 +47,10 @@
 
 // proposeTick proposes a tick if the state has timeouts that are due. holdLeases keeps
 // expired leases.
-func (s *Service) proposeTick(ctx context.Context, g *group, now time.Time, holdLeases bool) {
+func (s *Service) proposeTick(ctx context.Context, g *group, holdLeases bool) {
 	needed := false
-	g.read(func(m *batch.Machine) { needed = m.NeedsTick(now.UnixMilli()) })
+	nowMS := g.clock.NowMS()
+	g.read(func(m *batch.Machine) { needed = m.NeedsTick(nowMS) })
 	if !needed {
 		return
 	}
--- a/services/director/director.go
+++ b/services/director/director.go
@@ -205,7 +205,7 @@
 			if s.group.Replica().Status().IsLeader {
 				s.bootstrapStorage(ctx, now)
 				s.completeRetirements(ctx, now)
-				s.expireVerdicts(ctx, now)
+				s.expireVerdicts(ctx)
 			}
 		}
 	}
--- a/services/director/state.go
+++ b/services/director/state.go
@@ -10,6 +10,7 @@
 	"banyanwalk/core/catalog"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/quarantine"
+	"banyanwalk/infra/logclock"
 	"banyanwalk/infra/rpc"
 )
 
@@ -17,6 +18,7 @@
 // commands; readers load the newest published state. It implements
 // replica.StateMachine.
 type catalogState struct {
+	clock   logclock.Clock
 	mu      sync.Mutex // guards machine
 	machine *catalog.Machine
 	current atomic.Pointer[catalog.State]
@@ -41,6 +43,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.clock.Observe(decoded.AtMS())
 	result := c.machine.Apply(index, decoded)
 	if result.Changed {
 		c.publish()
@@ -68,6 +71,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.machine = catalog.Restore(state)
+	c.clock.Observe(c.machine.Verdicts().LatestMS())
 	c.publish()
 	c.publishVerdicts()
 	return nil
--- a/services/director/verdicts.go
+++ b/services/director/verdicts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"banyanwalk/core/catalog"
 	"banyanwalk/infra/rpc"
@@ -11,7 +10,7 @@
 // reportRuns logs a gateway's report of requests that may crash targets in the
 // catalog. A repeated report changes nothing.
 func (s *Server) reportRuns(ctx context.Context, r *rpc.RunsReport) (*rpc.Ack, error) {
-	command := catalog.ReportRuns{AtMS: time.Now().UnixMilli(), Crashes: r.Crashes, Completed: r.Completed}
+	command := catalog.ReportRuns{AtMS: s.state.clock.NowMS(), Crashes: r.Crashes, Completed: r.Completed}
 	err := s.execute(ctx, catalog.Command{Runs: &command})
 	for i := range r.Crashes {
 		s.log.Info("target_crash_reported", "member", r.Member, "target", r.Crashes[i].Crash.Target,
@@ -27,10 +26,11 @@
 }
 
 // expireVerdicts applies the times to live of verdicts.
-func (s *Server) expireVerdicts(ctx context.Context, now time.Time) {
-	if !s.state.hasExpiredVerdicts(now.UnixMilli()) {
+func (s *Server) expireVerdicts(ctx context.Context) {
+	nowMS := s.state.clock.NowMS()
+	if !s.state.hasExpiredVerdicts(nowMS) {
 		return
 	}
-	err := s.execute(ctx, catalog.Command{Expire: &catalog.ExpireVerdicts{AtMS: now.UnixMilli()}})
+	err := s.execute(ctx, catalog.Command{Expire: &catalog.ExpireVerdicts{AtMS: nowMS}})
 	s.log.Info("verdicts_expired", "error", err)
 }
