--- a/cmd/banyan-site-control/main.go
+++ b/cmd/banyan-site-control/main.go
@@ -64,6 +64,8 @@
 		VoterCount:   p.Settings.VoterCount(),
 		DataDir:      p.Settings.DataDir,
 		ConfirmEvery: p.Settings.RefuseStaleAfter / confirmationsPerStaleLimit,
+		Decode:       site.DecodeDocument,
+		Health:       platform.HealthHeaders(),
 		Log:          p.Log,
 		Metrics:      p.Metrics,
 	})
--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -114,6 +114,7 @@
 	config := p.FollowerConfig(rpc.Member{Name: p.Settings.Host, Role: role, DataCentre: p.Settings.DataCentre})
 	config.Storage = storage
 	config.Broker = broker
+	config.AcceptEarly = role == rpc.RoleGateway
 	return follow.New(config)
 }
 
@@ -122,14 +123,17 @@
 	return follow.Config{
 		Member: member,
 		Seeds:  p.Settings.ControlSeeds,
-		Decode: func(body []byte) (*routing.Document, error) {
-			document, _, err := platform.DecodeDocument(body)
-			return document, err
-		},
-		Log: p.Log,
+		Decode: DecodeDocument,
+		Log:    p.Log,
 	}
 }
 
+// DecodeDocument decodes the canonical encoding of a document.
+func DecodeDocument(body []byte) (*routing.Document, error) {
+	document, _, err := platform.DecodeDocument(body)
+	return document, err
+}
+
 // WatchSettings reloads the settings file on SIGHUP and when its content has
 // changed, until ctx ends, and passes the new seeds to f. f is nil on a control
 // host with a disk: it needs no seeds, because its replicated log names the other
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -91,6 +91,9 @@
 type FollowPing struct {
 	Load           MemberLoad `msgpack:"l"`
 	WantsPeerLoads bool       `msgpack:"o"` // requests the aggregated load of the other processes
+	// AcceptsEarly, in the first ping, requests the catalog even before a quorum has
+	// confirmed it.
+	AcceptsEarly bool `msgpack:"e,omitempty"`
 }
 
 // PeerLoads aggregates the load of all processes except the subscriber.
@@ -114,12 +117,17 @@
 // FollowPush carries the changes since the previous push. The first one carries the
 // full state.
 type FollowPush struct {
-	Catalog      *PackedCatalog     `msgpack:"c,omitempty"`
-	Verdicts     *quarantine.Update `msgpack:"v,omitempty"`
-	Targets      []TargetReport     `msgpack:"t,omitempty"`
-	StorageHosts []Member           `msgpack:"m,omitempty"` // all recently seen storage hosts, if any of them changed
-	PeerLoads    *PeerLoads         `msgpack:"u,omitempty"` // if FollowPing requested it
-	ControlHosts []string           `msgpack:"o,omitempty"` // wire addresses of the control hosts
+	Catalog *PackedCatalog `msgpack:"c,omitempty"`
+	// EarlyCatalog is committed, but may be older than what was acknowledged before
+	// the control host started. ConfirmedRevision is the revision of such a catalog
+	// once it is known to be current; 0: nothing new is known.
+	EarlyCatalog      *PackedCatalog     `msgpack:"e,omitempty"`
+	ConfirmedRevision uint64             `msgpack:"k,omitempty"`
+	Verdicts          *quarantine.Update `msgpack:"v,omitempty"`
+	Targets           []TargetReport     `msgpack:"t,omitempty"`
+	StorageHosts      []Member           `msgpack:"m,omitempty"` // all recently seen storage hosts, if any of them changed
+	PeerLoads         *PeerLoads         `msgpack:"u,omitempty"` // if FollowPing requested it
+	ControlHosts      []string           `msgpack:"o,omitempty"` // wire addresses of the control hosts
 	// ConfirmedAgeMS is the time in milliseconds since a quorum confirmed that the
 	// sender's catalog was current; nil if it is not reported.
 	ConfirmedAgeMS *int64 `msgpack:"f,omitempty"`
--- a/services/director/board.go
+++ b/services/director/board.go
@@ -33,6 +33,7 @@
 type registry struct {
 	mu              sync.Mutex
 	revision        uint64
+	changes         uint64 // changes of targets that routing depends on
 	roster          *roster.Roster
 	targetRevisions map[string]uint64      // registry revision of the last change, by target ID
 	limits          map[string]targetLimit // newest reading of the limit that a target names, by target ID
@@ -94,6 +95,7 @@
 	r.revision++
 	r.targetRevisions[id] = r.revision
 	if result == roster.Changed {
+		r.changes++
 		r.notifyLocked()
 	}
 }
@@ -160,6 +162,7 @@
 		}
 	}
 	expired := r.roster.Expire(now.Add(-targetTimeout))
+	r.changes += uint64(len(expired))
 	for _, record := range expired {
 		delete(r.targetRevisions, record.ID)
 	}
@@ -172,6 +175,22 @@
 	return expired
 }
 
+// readyTargets returns the number of changes so far and, unless it is known, the
+// last reports of the targets in service.
+func (r *registry) readyTargets(known uint64) (changes uint64, reports []roster.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.changes == known {
+		return known, nil
+	}
+	for _, record := range r.roster.All() {
+		if record.State == roster.Ready {
+			reports = append(reports, record.Report)
+		}
+	}
+	return r.changes, reports
+}
+
 // targetsSince returns the targets that have changed after a revision, and the
 // current revision.
 func (r *registry) targetsSince(now time.Time, revision uint64) (targets []rpc.TargetReport, upTo uint64) {
--- a/services/director/confirm_test.go
+++ b/services/director/confirm_test.go
@@ -93,3 +93,21 @@
 	require.Eventually(t, func() bool { return f.Table() != nil }, waitTimeout, time.Millisecond)
 	assert.Equal(t, int64(3), first.Load())
 }
+
+// A gateway that accepts an early catalog gets it from a host that has no quorum yet,
+// and learns later that it is current.
+func TestRestartedHostPushesEarlyCatalogOnRequest(t *testing.T) {
+	p := newHostPair(t)
+	require.Eventually(t, func() bool {
+		return p.servers[0].PutDocument(t.Context(), document(1), []byte{1}) == nil && p.servers[0].PutDocument(t.Context(), document(2), []byte{2}) == nil
+	}, waitTimeout, time.Millisecond)
+	p.stopHost(0)
+	p.stopHost(1)
+	p.startHost(0)
+	f := startEarlyFollower(t, p.addrs[0])
+	require.Eventually(t, func() bool { return f.Table() != nil }, waitTimeout, time.Millisecond)
+	assert.True(t, f.CatalogIsEarly(), "no quorum has confirmed it")
+	p.startHost(1)
+	require.Eventually(t, func() bool { return !f.CatalogIsEarly() }, waitTimeout, time.Millisecond)
+	assert.Equal(t, uint64(2), f.Table().Version())
+}
--- a/services/director/director.go
+++ b/services/director/director.go
@@ -8,6 +8,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"path/filepath"
 	"sync/atomic"
 	"time"
 
@@ -58,10 +59,13 @@
 	// for followers that must refuse requests when their catalog is too old. If
 	// 0, the catalog is confirmed only after the start.
 	ConfirmEvery time.Duration
-	ServerTLS    *tls.Config
-	ClientTLS    *tls.Config
-	Log          *telemetry.Log
-	Metrics      metrics.Registry
+	// Decode decodes the canonical encoding of a document.
+	Decode    func(body []byte) (*routing.Document, error)
+	Health    HealthHeaders // empty: targets are not asked about their health
+	ServerTLS *tls.Config
+	ClientTLS *tls.Config
+	Log       *telemetry.Log
+	Metrics   metrics.Registry
 }
 
 // Server is one control host. It is safe for concurrent use.
@@ -74,6 +78,7 @@
 	registry       *registry
 	reportCounters map[roster.MergeResult]metrics.Counter
 	bootstrap      bootstrapState
+	targetFile     *targetFile
 	startedAt      time.Time
 	// confirmed is the boottime instant at which the last quorum-confirmed read
 	// began. While it is 0, the catalog here may be older than what was
@@ -95,6 +100,7 @@
 			roster.Changed: metrics.GetOrRegisterCounter("director.reports.changed", cfg.Metrics),
 		},
 	}
+	s.targetFile = &targetFile{path: filepath.Join(cfg.DataDir, targetFileName)}
 	s.state = newCatalogState(s.registry.notify)
 	var peers []uint64
 	for _, addr := range cfg.InitialHosts {
@@ -137,6 +143,10 @@
 		s.confirm(ctx)
 		return nil
 	})
+	p.Go(func() error {
+		s.recallTargets(ctx)
+		return nil
+	})
 	return p.Wait()
 }
 
@@ -202,6 +212,7 @@
 					s.log.Info("target_forgotten", "target", record.ID, "state", record.State.String(), "silent_ms", now.Sub(record.ReceivedAt).Milliseconds())
 				}
 			}
+			s.saveTargets(now)
 			if s.group.Replica().Status().IsLeader {
 				s.bootstrapStorage(ctx, now)
 				s.completeRetirements(ctx, now)
@@ -211,6 +222,18 @@
 	}
 }
 
+// saveTargets saves the targets in service. During the recall after a start, the
+// file holds more than the registry.
+func (s *Server) saveTargets(now time.Time) {
+	if now.Sub(s.startedAt) < recallWindow {
+		return
+	}
+	changes, reports := s.registry.readyTargets(s.targetFile.saved)
+	if err := s.targetFile.save(changes, reports); err != nil {
+		s.log.Warn("targets_not_saved", "error", err)
+	}
+}
+
 // PutDocument validates a document and activates it if its version is the
 // highest. body is its canonical encoding, which Document returns.
 func (s *Server) PutDocument(ctx context.Context, d *routing.Document, body []byte) error {
--- a/services/director/director_test.go
+++ b/services/director/director_test.go
@@ -45,7 +45,9 @@
 // runHost runs a control host until stop is called.
 func runHost(t *testing.T, l net.Listener, dir string, initialHosts ...string) (s *Server, stop func()) {
 	s, err := New(Config{Name: "c1", DataCentre: "a", Addr: l.Addr().String(), InitialHosts: initialHosts, VoterCount: voterCount, DataDir: dir,
-		ConfirmEvery: time.Millisecond, Log: telemetry.Discard(), Metrics: metrics.NewRegistry()})
+		ConfirmEvery: time.Millisecond, Log: telemetry.Discard(), Metrics: metrics.NewRegistry(),
+		Health: HealthHeaders{Target: "X-Target", ColdFor: "X-Cold"},
+		Decode: func(body []byte) (*routing.Document, error) { return document(uint64(body[0])), nil }})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
@@ -59,7 +61,7 @@
 func document(version uint64) *routing.Document {
 	return &routing.Document{
 		Version:  version,
-		Services: []routing.Service{{Name: "llm"}},
+		Services: []routing.Service{{Name: "llm", HealthPath: "/health"}},
 		Routes: []routing.Route{{Name: fmt.Sprint("v", version), Host: "h", Prefix: "/", Kind: routing.Idempotent, Timeout: time.Second,
 			Shares: []routing.Share{{Service: "llm", Weight: 1}}}},
 	}
@@ -147,12 +149,19 @@
 
 // startFollower runs a gateway's view of one control host.
 func startFollower(t *testing.T, addr string, decode func([]byte) (*routing.Document, error)) *follow.Follower {
-	follower := follow.New(follow.Config{
-		Member: rpc.Member{Name: "g", Role: rpc.RoleGateway, DataCentre: "a"},
-		Seeds:  []string{addr},
-		Decode: decode,
-		Log:    telemetry.Discard(),
-	})
+	return runFollower(t, follow.Config{Seeds: []string{addr}, Decode: decode})
+}
+
+// startEarlyFollower runs a follower that accepts an early catalog.
+func startEarlyFollower(t *testing.T, addr string) *follow.Follower {
+	decode := func(body []byte) (*routing.Document, error) { return document(uint64(body[0])), nil }
+	return runFollower(t, follow.Config{Seeds: []string{addr}, Decode: decode, AcceptEarly: true})
+}
+
+func runFollower(t *testing.T, cfg follow.Config) *follow.Follower {
+	cfg.Member = rpc.Member{Name: "g", Role: rpc.RoleGateway, DataCentre: "a"}
+	cfg.Log = telemetry.Discard()
+	follower := follow.New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	wg.Go(func() { assert.NoError(t, follower.Run(ctx)) })
--- a/services/director/follow.go
+++ b/services/director/follow.go
@@ -46,7 +46,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() {
 		defer stream.Close()
-		s.push(ctx, &pusher{server: s, stream: stream, name: name, wantsPeerLoads: &wantsPeerLoads})
+		s.push(ctx, &pusher{server: s, stream: stream, name: name, acceptsEarly: first.AcceptsEarly, wantsPeerLoads: &wantsPeerLoads})
 	})
 	defer wg.Wait()
 	defer cancel()
@@ -93,7 +93,9 @@
 	name               string
 	wantsPeerLoads     *atomic.Bool // the follower asks for the aggregate of the other processes
 	registryRevision   uint64       // registry revision last sent
-	catalogRevision    uint64       // catalog revision last sent
+	acceptsEarly       bool         // the follower takes a catalog that is not confirmed
+	catalogRevision    uint64       // revision of the confirmed catalog last sent
+	earlyRevision      uint64       // revision of the unconfirmed catalog last sent
 	verdictRevision    uint64       // revision of the verdicts last sent
 	storageHosts       []rpc.Member
 	controlHosts       []uint64  // replica IDs last sent
@@ -106,10 +108,7 @@
 func (p *pusher) send(now time.Time) error {
 	push := rpc.FollowPush{}
 	push.Targets, p.registryRevision = p.server.registry.targetsSince(now, p.registryRevision)
-	if packed := p.server.state.packed.Load(); packed.State.Revision > p.catalogRevision && p.server.isCurrent() {
-		push.Catalog = packed
-		p.catalogRevision = packed.State.Revision
-	}
+	p.addCatalog(&push)
 	if verdicts := p.server.state.verdictsSince(p.verdictRevision); verdicts != nil && p.server.isCurrent() {
 		push.Verdicts = verdicts
 		p.verdictRevision = verdicts.Revision
@@ -120,7 +119,7 @@
 	}
 	p.addStorageHosts(now, &push)
 	p.addPeerLoads(now, &push)
-	empty := push.Catalog == nil && push.Verdicts == nil && push.ControlHosts == nil && len(push.Targets) == 0 && push.StorageHosts == nil && push.PeerLoads == nil
+	empty := push.Catalog == nil && push.EarlyCatalog == nil && push.ConfirmedRevision == 0 && push.Verdicts == nil && push.ControlHosts == nil && len(push.Targets) == 0 && push.StorageHosts == nil && push.PeerLoads == nil
 	if empty && now.Sub(p.lastSent) < keepaliveInterval {
 		return nil
 	}
@@ -129,6 +128,27 @@
 	return p.stream.Send(&push)
 }
 
+// addCatalog adds the catalog if it has changed. Until a quorum has confirmed it, only
+// followers that accept an early one get it; they are told when it is confirmed.
+func (p *pusher) addCatalog(push *rpc.FollowPush) {
+	packed := p.server.state.packed.Load()
+	revision := packed.State.Revision
+	switch {
+	case revision <= p.catalogRevision:
+	case !p.server.isCurrent():
+		if p.acceptsEarly && revision > p.earlyRevision && packed.State.Version > 0 {
+			push.EarlyCatalog = packed
+			p.earlyRevision = revision
+		}
+	case revision == p.earlyRevision:
+		push.ConfirmedRevision = revision
+		p.catalogRevision = revision
+	default:
+		push.Catalog = packed
+		p.catalogRevision = revision
+	}
+}
+
 // addStorageHosts adds the storage hosts if any has appeared, disappeared or changed,
 // or if a repetition is due.
 func (p *pusher) addStorageHosts(now time.Time, push *rpc.FollowPush) {
--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -54,7 +54,7 @@
 	}
 	c, err := s.admit(ctx)
 	if err != nil {
-		s.refuse(ctx, c, outcome.From(err))
+		s.refuse(ctx, c, s.unlessEarly(outcome.From(err)))
 		return
 	}
 	if c.route.Kind == routing.Batch {
@@ -108,6 +108,20 @@
 	return c, nil
 }
 
+// unlessEarly replaces a refusal for what the document lacks while a newer one may
+// exist: the caller may return.
+func (s *Server) unlessEarly(failure *outcome.Error) *outcome.Error {
+	if !s.follower.CatalogIsEarly() {
+		return failure
+	}
+	switch failure.Code {
+	case outcome.UnknownRoute, outcome.KeyUnknown, outcome.KeyMissing:
+		return outcome.New(outcome.StateStale, outcome.NotRun, "the document is not confirmed yet: %s", failure.Message).WithRetryAfter(staleRetryAfter)
+	default:
+		return failure
+	}
+}
+
 // ambiguousLength reports whether a request has two conflicting body lengths. It
 // inspects the raw header because the parser drops the Content-Length of such a
 // request.
--- a/services/entry/jobs.go
+++ b/services/entry/jobs.go
@@ -101,6 +101,9 @@
 	if string(ctx.Method()) != http.MethodPost {
 		return outcome.New(outcome.BadRequest, outcome.NotRun, "jobs are handed in by POST")
 	}
+	if s.follower.CatalogIsEarly() {
+		return outcome.New(outcome.StateStale, outcome.NotRun, "the document is not confirmed yet").WithRetryAfter(staleRetryAfter)
+	}
 	submission, err := s.cfg.Jobs.ParseSubmission(ctx)
 	if err != nil {
 		return outcome.New(outcome.BadRequest, outcome.NotRun, "%v", err)
--- a/services/follow/feed.go
+++ b/services/follow/feed.go
@@ -110,7 +110,7 @@
 		if maps.Equal(loads, sentLoads) && limitSequence == sentLimitSequence && wantsPeerLoads == sentWantsPeerLoads && time.Since(sentAt) < idleReportInterval {
 			continue
 		}
-		if err := stream.Send(&rpc.FollowPing{Load: f.memberLoad(), WantsPeerLoads: wantsPeerLoads}); err != nil {
+		if err := stream.Send(&rpc.FollowPing{Load: f.memberLoad(), WantsPeerLoads: wantsPeerLoads, AcceptsEarly: f.cfg.AcceptEarly}); err != nil {
 			return
 		}
 		sentAt, sentLoads, sentWantsPeerLoads, sentLimitSequence = time.Now(), loads, wantsPeerLoads, limitSequence
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -56,6 +56,9 @@
 	// WithoutPeerLoads is set for processes that do not need the aggregate of the
 	// other processes' loads and quota use.
 	WithoutPeerLoads bool
+	// AcceptEarly is set for processes that may act on a catalog that is older than
+	// the newest one, until a control host has confirmed it.
+	AcceptEarly bool
 }
 
 // Follower holds one process's view of the site. It is safe for concurrent use.
@@ -66,6 +69,7 @@
 
 	table    atomic.Pointer[routing.Table]
 	catalog  atomic.Pointer[catalog.State]
+	early    atomic.Bool // the catalog is not confirmed yet
 	verdicts atomic.Pointer[map[quarantine.Ref]Verdict]
 	// confirmed is the boottime instant at which the catalog was last known to be
 	// current.
@@ -133,6 +137,10 @@
 // Catalog returns the newest catalog. Callers must not modify it.
 func (f *Follower) Catalog() *catalog.State { return f.catalog.Load() }
 
+// CatalogIsEarly reports whether the catalog may be older than what was acknowledged
+// before the control hosts started. What it lacks may exist all the same.
+func (f *Follower) CatalogIsEarly() bool { return f.early.Load() }
+
 // ControlHosts returns the sorted wire addresses of the control hosts that pushed
 // recently.
 func (f *Follower) ControlHosts() []string {
--- a/services/follow/merge.go
+++ b/services/follow/merge.go
@@ -20,7 +20,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastPush = now
-	viewChanged := f.mergeCatalog(from, push.Catalog)
+	viewChanged := f.mergeCatalog(from, push)
 	if f.mergeTargets(now, push.Targets) {
 		viewChanged = true
 	}
@@ -42,10 +42,36 @@
 	}
 }
 
-// mergeCatalog takes a catalog only if it is newer: the view never goes back.
-func (f *Follower) mergeCatalog(from string, packed *rpc.PackedCatalog) bool {
+// mergeCatalog takes the catalog of a push. An early one counts only until a
+// confirmed one has come.
+func (f *Follower) mergeCatalog(from string, push *rpc.FollowPush) bool {
+	changed := false
+	switch {
+	case push.Catalog != nil:
+		changed = f.takeCatalog(from, push.Catalog)
+		f.confirmCatalog(from, push.Catalog.State.Revision)
+	case push.EarlyCatalog != nil && f.cfg.AcceptEarly && (f.table.Load() == nil || f.early.Load()):
+		f.early.Store(true) // before the table is visible
+		changed = f.takeCatalog(from, push.EarlyCatalog)
+	}
+	if push.ConfirmedRevision > 0 {
+		f.confirmCatalog(from, push.ConfirmedRevision)
+	}
+	return changed
+}
+
+// confirmCatalog notes that a control host has confirmed the catalog up to a revision.
+func (f *Follower) confirmCatalog(from string, revision uint64) {
+	if current := f.catalog.Load(); f.early.Load() && current.Revision >= revision {
+		f.early.Store(false)
+		f.cfg.Log.Info("catalog_confirmed", "from", from, "revision", current.Revision, "version", current.Version)
+	}
+}
+
+// takeCatalog takes a catalog only if it is newer: the view never goes back.
+func (f *Follower) takeCatalog(from string, packed *rpc.PackedCatalog) bool {
 	current := f.catalog.Load()
-	if packed == nil || packed.State.Revision <= current.Revision {
+	if packed.State.Revision <= current.Revision {
 		return false
 	}
 	state, err := packed.Unpack()
@@ -64,7 +90,7 @@
 	f.catalog.Store(state)
 	f.Targets.SetOutOfService(state.DataCentresOut)
 	f.cfg.Log.Info("catalog_taken", "from", from, "revision", state.Revision, "version", state.Version,
-		"version_before", current.Version, "out", len(state.DataCentresOut), "founders", len(state.InitialHosts))
+		"version_before", current.Version, "early", f.early.Load(), "out", len(state.DataCentresOut), "founders", len(state.InitialHosts))
 	return true
 }
 
