core/raft: a split vote and a campaign that nobody heard are repeated soon

Ruled out: a larger spread of the first timers, which delays every election. Change: a pre-vote, which changes nobody's state, and the first lost candidacy are repeated after one to three heartbeat intervals; of two candidates of one term the one with the lower id waits.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -8,6 +8,12 @@
 	r.electionTimerDuration = time.Duration(timeout + r.cfg.Rand.Int64N(timeout))
 }
 
+// setShortTimer lets the next campaign start after one to three heartbeat intervals.
+func (r *Raft) setShortTimer() {
+	interval := int64(r.cfg.HeartbeatInterval)
+	r.electionTimerDuration = time.Duration(interval + r.cfg.Rand.Int64N(2*interval))
+}
+
 func (r *Raft) becomeFollower(term uint64, leader ReplicaID) {
 	if term > r.term {
 		r.term = term
@@ -30,6 +36,7 @@
 	}
 	r.lastLeaderContact = r.now
 	r.allowedForStall = false
+	r.electionsLost = 0
 	r.resetTimer()
 }
 
@@ -54,9 +61,13 @@
 	if role == Candidate {
 		r.term++
 		r.vote = r.id
+		r.electionsLost++
+		if r.electionsLost == 1 {
+			r.setShortTimer() // a split vote; later ones may come from slow disks or links
+		}
 	} else {
 		request.Type = MsgPreVote
-		r.electionTimerDuration /= 2
+		r.setShortTimer() // it changes no state of the others
 	}
 	r.requestVotes(request)
 }
@@ -131,6 +142,9 @@
 	if m.Term > r.term {
 		r.becomeFollower(m.Term, ReplicaID{})
 	}
+	if r.role == Candidate && m.Term == r.term && upToDate && (m.Index > r.log.lastIndex() || m.From.ID > r.id.ID) {
+		r.resetTimer() // the vote is split: only the other one repeats it soon
+	}
 	mayVoteForSender := r.vote.IsZero() || r.vote == m.From
 	if upToDate && mayVoteForSender {
 		r.vote = m.From
@@ -168,6 +182,7 @@
 
 func (r *Raft) becomeLeader() {
 	r.role = Leader
+	r.electionsLost = 0
 	r.leader = r.id
 	r.votes = nil
 	r.leaseStart = time.Time{}
--- a/core/raft/open_membership_test.go
+++ b/core/raft/open_membership_test.go
@@ -53,6 +53,36 @@
 	require.Greater(t, electedInTime, 45, "of 50; if two replicas campaign at the same time, the vote is split and they retry later")
 }
 
+// When two of three hosts restart, one later than the other, both are needed for an
+// election. A first campaign that nobody hears, and a split vote, are repeated soon.
+func TestTwoOfThreeRestartedHostsElectQuickly(t *testing.T) {
+	const histories = 100
+	for _, later := range []time.Duration{0, openHeartbeat, 3 * openHeartbeat} {
+		electedInTime := 0
+		for seed := range uint64(histories) {
+			g := newOpenGroup(t, 1+3*seed, 2+3*seed, 3+3*seed)
+			_, _, err := g.leader().Propose([]byte("command"))
+			require.NoError(t, err)
+			g.run(openElection)
+			for id := range g.hosts {
+				g.down[id] = true
+			}
+			g.restart(1 + 3*seed)
+			g.down[1+3*seed] = false
+			g.run(later)
+			g.restart(2 + 3*seed)
+			g.down[2+3*seed] = false
+			g.run(openElection)
+			if g.leader() != nil {
+				electedInTime++
+			}
+			g.run(2 * openElection)
+			require.NotNil(t, g.leader(), "seed %d", seed)
+		}
+		require.GreaterOrEqual(t, electedInTime, histories*9/10, "the second host started %v later", later)
+	}
+}
+
 // A single restarted host must not disrupt the leader.
 func TestRestartedHostFollowsExistingLeader(t *testing.T) {
 	g := newOpenGroup(t, 1, 2, 3)
--- a/core/raft/raft.go
+++ b/core/raft/raft.go
@@ -107,6 +107,7 @@
 	lastTick              time.Time
 	allowedForStall       bool // since the last contact with a leader
 	electionTimerDuration time.Duration
+	electionsLost         int // campaigns as a candidate since the last contact with a leader
 	votes                 map[ReplicaID]bool
 	blankPeers            map[uint64]blankPeer // peers that answered a probe as blank, by host
 	lastProbe             time.Time
@@ -157,8 +158,7 @@
 	case log.isBlank():
 	case cfg.NoLease:
 		// A live leader sends a heartbeat before this timer expires.
-		interval := int64(cfg.HeartbeatInterval)
-		r.electionTimerDuration = time.Duration(interval + cfg.Rand.Int64N(2*interval))
+		r.setShortTimer()
 	default:
 		r.lastLeaderContact = cfg.Now
 	}
