--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -25,8 +25,6 @@
 	// maxQueueOnRetry is maxQueue for callers that have been refused before: they
 	// retry only once, and a late response is better than none.
 	maxQueueOnRetry = 10
-	// busyRetryAfter is the Retry-After of a request that got no slot.
-	busyRetryAfter = 300 * time.Millisecond
 	// sweepInterval is the time between two sweeps for expired grants.
 	sweepInterval = 500 * time.Millisecond
 )
@@ -48,11 +46,14 @@
 
 	mu        sync.Mutex
 	grants    map[rpc.SlotID]grant
+	returns   map[string]*placement.Returns // by service
 	lastSweep time.Time
 }
 
 type grant struct {
 	target  string
+	service string
+	since   time.Time
 	expires time.Time
 	suspect bool // the request may crash the target
 }
@@ -65,6 +66,7 @@
 		granted: metrics.GetOrRegisterCounter("broker.slots.granted", s.cfg.Metrics),
 		refused: metrics.GetOrRegisterCounter("broker.slots.refused", s.cfg.Metrics),
 		grants:  make(map[rpc.SlotID]grant),
+		returns: make(map[string]*placement.Returns),
 	}
 }
 
@@ -95,7 +97,7 @@
 		b.runner.preempt(map[string]int{target.ID: 1})
 	}
 	expires := now.Add(time.Duration(r.RemainingMS)*time.Millisecond + grantGrace)
-	b.recordGrant(r.ID, grant{target: target.ID, expires: expires, suspect: r.IsSuspect})
+	b.recordGrant(r.ID, grant{target: target.ID, service: r.Service, since: now, expires: expires, suspect: r.IsSuspect})
 	b.granted.Inc(1)
 	return &rpc.SlotGrant{Target: target.ID, Total: b.targets.TotalLoad(target.ID)}, nil
 }
@@ -128,14 +130,26 @@
 func (b *broker) refuse(now time.Time, r *rpc.SlotRequest) *outcome.Error {
 	b.refused.Inc(1)
 	retryAfter, limited := b.targets.NextPlace(now, r.Service)
+	slots, taken, targets := b.targets.Free(r.Service)
 	if !limited {
-		retryAfter = busyRetryAfter
+		retryAfter = b.nextReturn(now, r, slots)
 	}
-	slots, taken, targets := b.targets.Free(r.Service)
 	return outcome.New(outcome.TargetBusy, outcome.NotRun, "no target of service %s has a place: %d slots at %d targets, %d requests there, all limited %t, returning %t",
 		r.Service, slots, targets, taken, limited, r.IsRetry).WithRetryAfter(retryAfter)
 }
 
+// nextReturn returns the delay after which a refused caller should return.
+func (b *broker) nextReturn(now time.Time, r *rpc.SlotRequest, slots int) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	returns := b.returns[r.Service]
+	if returns == nil {
+		returns = &placement.Returns{}
+		b.returns[r.Service] = returns
+	}
+	return returns.Next(now, slots, time.Duration(r.RemainingMS)*time.Millisecond)
+}
+
 // acquireTarget chooses a target. A request that may crash it goes, where it can, to
 // one without another such request: if the target then crashes, the evidence is
 // against one of them only.
@@ -203,6 +217,9 @@
 	}
 	b.mu.Lock()
 	for _, id := range r.IDs {
+		if g, found := b.grants[id]; found && b.returns[g.service] != nil {
+			b.returns[g.service].Observe(now.Sub(g.since))
+		}
 		b.dropGrant(id)
 	}
 	b.mu.Unlock()
