--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -129,10 +129,8 @@
 		r.send(response)
 		return
 	}
-	upToDate := m.LogTerm > r.log.lastTerm() ||
-		(m.LogTerm == r.log.lastTerm() && m.Index >= r.log.lastIndex())
 	if m.Type == MsgPreVote {
-		response.Reject = !upToDate || m.Term == r.term
+		response.Reject = !r.isUpToDate(m) || m.Term == r.term
 		if !response.Reject {
 			response.Term = m.Term
 		}
@@ -142,16 +140,30 @@
 	if m.Term > r.term {
 		r.becomeFollower(m.Term, ReplicaID{})
 	}
-	if r.role == Candidate && m.Term == r.term && upToDate && (m.Index > r.log.lastIndex() || m.From.ID > r.id.ID) {
+	response.Reject = !r.grantVote(m)
+	r.send(response)
+}
+
+// isUpToDate reports whether the log of a candidate holds at least what this
+// replica's log holds.
+func (r *Raft) isUpToDate(m Message) bool {
+	return m.LogTerm > r.log.lastTerm() || (m.LogTerm == r.log.lastTerm() && m.Index >= r.log.lastIndex())
+}
+
+// grantVote votes for the sender in the current term, if it may.
+func (r *Raft) grantVote(m Message) bool {
+	if !r.isUpToDate(m) {
+		return false
+	}
+	if r.role == Candidate && (m.Index > r.log.lastIndex() || m.From.ID > r.id.ID) {
 		r.resetTimer() // the vote is split: only the other one repeats it soon
 	}
-	mayVoteForSender := r.vote.IsZero() || r.vote == m.From
-	if upToDate && mayVoteForSender {
-		r.vote = m.From
-		response.Reject = false
-		r.resetTimer()
+	if !r.vote.IsZero() && r.vote != m.From {
+		return false
 	}
-	r.send(response)
+	r.vote = m.From
+	r.resetTimer()
+	return true
 }
 
 // TransferLeadership transfers the leadership to an active voter that holds the
