core/placement: all processes together keep to the rate of a cold target, however many they are

Ruled out: late pushes of the cold time (the targets were known as cold). Change: token buckets; the broker uses half of the rate, the other processes share the rest, also where that is less than one request a second for each.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -125,36 +125,6 @@
 	return f != nil && now.Before(f.until)
 }
 
-// underWarmupLimit reports whether a cold target can take one more request from
-// this process in the current second. Warm targets always can.
-func (t *Targets) underWarmupLimit(now time.Time, r *roster.Record, q Query) bool {
-	if q.WarmupPerSecond <= 0 || !isCold(now, r) {
-		return true
-	}
-	a := t.coldAllowances[r.ID]
-	if a == nil || now.Sub(a.start) >= time.Second {
-		return true
-	}
-	share := max(1, int(q.WarmupPerSecond)/t.processes)
-	return a.used < share
-}
-
-func isCold(now time.Time, r *roster.Record) bool {
-	return !r.ColdUntil.IsZero() && now.Before(r.ColdUntil)
-}
-
-func (t *Targets) useColdAllowance(now time.Time, r *roster.Record) {
-	if !isCold(now, r) {
-		return
-	}
-	a := t.coldAllowances[r.ID]
-	if a == nil || now.Sub(a.start) >= time.Second {
-		a = &allowance{start: now}
-		t.coldAllowances[r.ID] = a
-	}
-	a.used++
-}
-
 // BatchToPreempt returns, for each target with fewer than spare free slots, how
 // many of this process's batch items should be preempted there.
 func (t *Targets) BatchToPreempt(spare int) map[string]int {
--- /dev/null
+++ b/core/placement/cold.go
@@ -0,0 +1,72 @@
+package placement
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+
+	"banyanwalk/core/roster"
+)
+
+const (
+	// brokerColdShare is the part of the rate of a cold target that the broker may
+	// use. The processes that place requests without it share the rest.
+	brokerColdShare = 0.5
+	// coldBurstSeconds is the time for which an unused part of the rate is kept.
+	coldBurstSeconds = 0.25
+)
+
+// allowance is a token bucket for the requests of this process to one cold target.
+type allowance struct {
+	tokens   float64
+	filledAt time.Time
+}
+
+// underWarmupLimit reports whether a cold target can take one more request from
+// this process. Warm targets always can. The parts of all processes together stay
+// within the rate also where there are more processes than requests a second.
+func (t *Targets) underWarmupLimit(now time.Time, r *roster.Record, q Query) bool {
+	if q.WarmupPerSecond <= 0 || !isCold(now, r) {
+		return true
+	}
+	rate := q.WarmupPerSecond * t.coldShare()
+	a := t.coldAllowances[r.ID]
+	if a == nil {
+		a = &allowance{tokens: t.firstTokens(r.ID, rate), filledAt: now}
+		t.coldAllowances[r.ID] = a
+	}
+	burst := max(1, rate*coldBurstSeconds)
+	a.tokens = min(burst, a.tokens+rate*now.Sub(a.filledAt).Seconds())
+	a.filledAt = now
+	return a.tokens >= 1
+}
+
+// coldShare returns the part of a cold target's rate that this process may use.
+func (t *Targets) coldShare() float64 {
+	if t.limitSharer == "" {
+		return brokerColdShare
+	}
+	return (1 - brokerColdShare) / float64(t.processes)
+}
+
+// firstTokens returns the initial tokens of a bucket: spread over the processes, so
+// that they don't all send their first request at the same moment.
+func (t *Targets) firstTokens(id string, rate float64) float64 {
+	if t.limitSharer == "" {
+		return max(1, rate*coldBurstSeconds)
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(t.limitSharer + "\x00" + id)) // never fails
+	return float64(h.Sum64()) / math.MaxUint64
+}
+
+// useColdAllowance takes a token of a cold target's bucket.
+func (t *Targets) useColdAllowance(now time.Time, r *roster.Record) {
+	if a := t.coldAllowances[r.ID]; a != nil && isCold(now, r) {
+		a.tokens--
+	}
+}
+
+func isCold(now time.Time, r *roster.Record) bool {
+	return !r.ColdUntil.IsZero() && now.Before(r.ColdUntil)
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -47,12 +47,6 @@
 	until time.Time
 }
 
-// allowance counts the requests sent to a cold target in the second from start.
-type allowance struct {
-	start time.Time
-	used  int
-}
-
 // New returns an empty view for a process in the given data centre.
 func New(dataCentre string) *Targets {
 	return &Targets{
