services/director, services/follow: sums of loads are added up once for all followers, reports and sums hold changes only

Cause: for each push to each follower a control host added up the spent tokens of all processes: followers x members x tenants, four times a second; every gateway sent the tokens and debts of all its tenants ten times a second to each control host. Ruled out: fewer pushes (the age of loads decides over placement). Hosts of an earlier build get whole reports as before.

--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -76,15 +76,17 @@
 }
 
 // MemberLoad is a member's report about itself and its load. Sequence increases with
-// each report.
+// each report. With ChangesOnly, Spent holds only the workspaces whose count has
+// changed since the previous report on the same stream, and Debts may be left out.
 type MemberLoad struct {
-	Member   Member                    `msgpack:"m"`
-	Sequence uint64                    `msgpack:"q"`
-	Spent    map[string]uint64         `msgpack:"s,omitempty"` // tokens spent by workspace since the start of the process
-	Loads    map[string]placement.Load `msgpack:"l,omitempty"` // requests at each target
-	BrokerID uint64                    `msgpack:"b,omitempty"` // broker whose requests Loads counts as brokered; see StorageState.BrokerID
-	Debts    map[string]float64        `msgpack:"d,omitempty"` // by workspace: tokens by which its bucket is overdrawn
-	Limits   []placement.LimitReport   `msgpack:"e,omitempty"` // that targets have named to this process
+	Member      Member                    `msgpack:"m"`
+	Sequence    uint64                    `msgpack:"q"`
+	Spent       map[string]uint64         `msgpack:"s,omitempty"` // tokens spent by workspace since the start of the process
+	Loads       map[string]placement.Load `msgpack:"l,omitempty"` // requests at each target
+	BrokerID    uint64                    `msgpack:"b,omitempty"` // broker whose requests Loads counts as brokered; see StorageState.BrokerID
+	ChangesOnly bool                      `msgpack:"x,omitempty"`
+	Debts       map[string]float64        `msgpack:"d,omitempty"` // by workspace: tokens by which its bucket is overdrawn
+	Limits      []placement.LimitReport   `msgpack:"e,omitempty"` // that targets have named to this process
 }
 
 // FollowPing reports the subscriber's load to a control host.
@@ -99,10 +101,10 @@
 // PeerLoads aggregates the load of all processes except the subscriber.
 type PeerLoads struct {
 	HostIncarnation uint64                    `msgpack:"h"`           // random number drawn at each start of the control host that computed the aggregate
-	Spent           map[string]uint64         `msgpack:"s,omitempty"` // tokens spent by workspace; grows while HostIncarnation is the same
+	Spent           map[string]uint64         `msgpack:"s,omitempty"` // tokens spent by workspace, as far as they changed; grows while HostIncarnation is the same
 	Loads           map[string]placement.Load `msgpack:"l,omitempty"` // requests at each target
 	BrokerID        uint64                    `msgpack:"b,omitempty"` // broker whose requests Loads counts as brokered
-	Debts           map[string]float64        `msgpack:"d,omitempty"` // by workspace: the largest debt at any gateway
+	Debts           map[string]float64        `msgpack:"d,omitempty"` // by workspace: the largest debt at any gateway; until the first push with gateways
 	Members         int                       `msgpack:"n"`           // processes, not counting the subscriber
 	Gateways        int                       `msgpack:"g"`           // gateways among them
 }
@@ -131,6 +133,7 @@
 	// ConfirmedAgeMS is the time in milliseconds since a quorum confirmed that the
 	// sender's catalog was current; nil if it is not reported.
 	ConfirmedAgeMS *int64 `msgpack:"f,omitempty"`
+	AcceptsChanges bool   `msgpack:"x,omitempty"` // the sender takes reports with MemberLoad.ChangesOnly
 	Relay          bool   `msgpack:"y,omitempty"` // the sender is not a control host; only ControlHosts is set
 }
 
--- a/services/director/board.go
+++ b/services/director/board.go
@@ -1,12 +1,12 @@
 package director
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"banyanwalk/core/catalog"
-	"banyanwalk/core/placement"
 	"banyanwalk/core/roster"
 	"banyanwalk/infra/rpc"
 )
@@ -15,6 +15,9 @@
 	// targetTimeout is how long a silent target is kept. Reports may be seconds
 	// late.
 	targetTimeout = 20 * time.Second
+	// renewalInterval is the time between two pushes of a target that only renews its
+	// report. Followers keep a target for several times as long.
+	renewalInterval = 2500 * time.Millisecond
 	// memberTimeout is how long a silent process of the site is kept.
 	memberTimeout = 5 * time.Second
 	// loadTimeout is how long the load of a silent process still counts.
@@ -35,12 +38,15 @@
 	revision        uint64
 	changes         uint64 // changes of targets that routing depends on
 	roster          *roster.Roster
-	targetRevisions map[string]uint64      // registry revision of the last change, by target ID
+	targetRevisions map[string]uint64      // registry revision of the last push, by target ID
+	pushedAt        map[string]time.Time   // when that revision was given, by target ID
 	limits          map[string]targetLimit // newest reading of the limit that a target names, by target ID
 	members         map[string]*memberRecord
-	spent           map[uint64]spentTokens // by incarnation, including those of silent and ended processes
-	hostIncarnation uint64                 // random ID of this incarnation of the control host
-	urgent          chan struct{}          // closed and replaced when followers must be told immediately
+	totalSpent      map[string]uint64       // by workspace, of all processes that were ever heard of
+	spent           map[uint64]*spentTokens // by incarnation, including those of silent and ended processes
+	hostIncarnation uint64                  // random ID of this incarnation of the control host
+	sums            loadSums
+	urgent          chan struct{} // closed and replaced when followers must be told immediately
 }
 
 // spentTokens counts the tokens that one process instance has spent, by
@@ -62,9 +68,11 @@
 	return &registry{
 		roster:          roster.New(),
 		targetRevisions: make(map[string]uint64),
+		pushedAt:        make(map[string]time.Time),
 		limits:          make(map[string]targetLimit),
 		members:         make(map[string]*memberRecord),
-		spent:           make(map[uint64]spentTokens),
+		totalSpent:      make(map[string]uint64),
+		spent:           make(map[uint64]*spentTokens),
 		hostIncarnation: rand.Uint64(),
 		urgent:          make(chan struct{}),
 	}
@@ -75,7 +83,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	result := r.roster.Merge(now, report)
-	r.recordChange(report.ID, result)
+	r.recordChange(now, report.ID, result)
 	return result
 }
 
@@ -84,16 +92,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	result := r.roster.Deregister(now, id, incarnation)
-	r.recordChange(id, result)
+	r.recordChange(now, id, result)
 	return result
 }
 
-func (r *registry) recordChange(id string, result roster.MergeResult) {
-	if result == roster.Stale {
+func (r *registry) recordChange(now time.Time, id string, result roster.MergeResult) {
+	if result == roster.Stale || result == roster.Renewed && now.Sub(r.pushedAt[id]) < renewalInterval {
 		return
 	}
 	r.revision++
-	r.targetRevisions[id] = r.revision
+	r.targetRevisions[id], r.pushedAt[id] = r.revision, now
 	if result == roster.Changed {
 		r.changes++
 		r.notifyLocked()
@@ -119,11 +127,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	previous := r.members[load.Member.Name]
-	usage, known := r.spent[load.Member.Incarnation]
-	if !known {
-		usage.baseline = load.Spent
+	r.reportSpent(now, &load)
+	if load.ChangesOnly && load.Debts == nil && previous != nil && previous.load.Member.Incarnation == load.Member.Incarnation {
+		load.Debts = previous.load.Debts
 	}
-	r.spent[load.Member.Incarnation] = spentTokens{baseline: usage.baseline, tokens: load.Spent, reportedAt: now}
+	load.Spent = nil // kept in r.spent
 	record := &memberRecord{load: load, reportedAt: now}
 	if previous != nil && previous.load.Member.Incarnation == load.Member.Incarnation {
 		record.limitSequence = previous.limitSequence
@@ -135,6 +143,31 @@
 	}
 }
 
+// reportSpent records the tokens that a process has spent. The caller holds the lock.
+func (r *registry) reportSpent(now time.Time, load *rpc.MemberLoad) {
+	usage := r.spent[load.Member.Incarnation]
+	if usage == nil {
+		usage = &spentTokens{baseline: load.Spent, tokens: maps.Clone(load.Spent)}
+		r.spent[load.Member.Incarnation] = usage
+	}
+	usage.reportedAt = now
+	for workspace, tokens := range load.Spent {
+		before := usage.counted(workspace)
+		if usage.tokens == nil {
+			usage.tokens = make(map[string]uint64)
+		}
+		usage.tokens[workspace] = tokens
+		r.totalSpent[workspace] += usage.counted(workspace) - before // wraps around for a returned token
+	}
+}
+
+// counted returns the tokens of a workspace that count: those spent since the first
+// report. A returned token may leave less than the baseline.
+func (u *spentTokens) counted(workspace string) uint64 {
+	tokens, baseline := u.tokens[workspace], u.baseline[workspace]
+	return max(tokens, baseline) - baseline
+}
+
 func sameStorage(a, b *rpc.StorageState) bool {
 	if a == nil || b == nil {
 		return a == b
@@ -165,6 +198,7 @@
 	r.changes += uint64(len(expired))
 	for _, record := range expired {
 		delete(r.targetRevisions, record.ID)
+		delete(r.pushedAt, record.ID)
 	}
 	for id := range r.limits {
 		if r.roster.Get(id) == nil {
@@ -212,62 +246,6 @@
 	return targets, r.revision
 }
 
-// sumPeerLoads aggregates the loads and quota use of all members but one. The loads
-// of silent members no longer count, but the tokens they have spent do.
-func (r *registry) sumPeerLoads(now time.Time, except string) *rpc.PeerLoads {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	sum := &rpc.PeerLoads{HostIncarnation: r.hostIncarnation, Spent: make(map[string]uint64), Loads: make(map[string]placement.Load), Debts: make(map[string]float64), BrokerID: r.brokerID(now)}
-	r.addSpent(sum, except)
-	for member, m := range r.members {
-		if member == except || now.Sub(m.reportedAt) > loadTimeout || m.load.Member.Role == rpc.RoleControl {
-			continue
-		}
-		sum.Members++
-		if m.load.Member.Role == rpc.RoleGateway {
-			sum.Gateways++
-		}
-		for workspace, debt := range m.load.Debts {
-			sum.Debts[workspace] = max(sum.Debts[workspace], debt)
-		}
-		addLoads(sum, &m.load)
-	}
-	return sum
-}
-
-// addSpent adds the tokens that all processes have spent since this host first
-// heard of them, except those of the named member's current process. The caller
-// holds the lock.
-func (r *registry) addSpent(sum *rpc.PeerLoads, except string) {
-	exceptIncarnation := uint64(0)
-	if m := r.members[except]; m != nil {
-		exceptIncarnation = m.load.Member.Incarnation
-	}
-	for incarnation, usage := range r.spent {
-		if incarnation == exceptIncarnation {
-			continue
-		}
-		for workspace, tokens := range usage.tokens {
-			if baseline := usage.baseline[workspace]; tokens > baseline { // a returned token may leave less than the baseline
-				sum.Spent[workspace] += tokens - baseline
-			}
-		}
-	}
-}
-
-// addLoads adds one member's load on each target.
-func addLoads(sum *rpc.PeerLoads, load *rpc.MemberLoad) {
-	for id, at := range load.Loads {
-		total := sum.Loads[id]
-		total.Online += at.Online
-		total.Batch += at.Batch
-		if load.BrokerID == sum.BrokerID {
-			total.Brokered += at.Brokered
-		}
-		sum.Loads[id] = total
-	}
-}
-
 // brokerID returns the ID of the current broker, or 0. The caller holds the lock.
 func (r *registry) brokerID(now time.Time) uint64 {
 	var hosts []rpc.Member
--- a/services/director/follow.go
+++ b/services/director/follow.go
@@ -42,11 +42,13 @@
 	s.log.Info("follower_joined", "member", name, "role", first.Load.Member.Role, "member_process", first.Load.Member.Incarnation)
 	s.registry.reportMember(time.Now(), first.Load)
 	var wantsPeerLoads atomic.Bool
+	var timesAsked atomic.Uint64
 	wantsPeerLoads.Store(first.WantsPeerLoads)
 	var wg conc.WaitGroup
 	wg.Go(func() {
 		defer stream.Close()
-		s.push(ctx, &pusher{server: s, stream: stream, name: name, acceptsEarly: first.AcceptsEarly, wantsPeerLoads: &wantsPeerLoads})
+		s.push(ctx, &pusher{server: s, stream: stream, name: name, acceptsEarly: first.AcceptsEarly, wantsPeerLoads: &wantsPeerLoads,
+			timesAsked: &timesAsked})
 	})
 	defer wg.Wait()
 	defer cancel()
@@ -57,7 +59,9 @@
 			return nil
 		}
 		s.registry.reportMember(time.Now(), ping.Load)
-		wantsPeerLoads.Store(ping.WantsPeerLoads)
+		if !wantsPeerLoads.Swap(ping.WantsPeerLoads) && ping.WantsPeerLoads {
+			timesAsked.Add(1)
+		}
 	}
 }
 
@@ -91,12 +95,16 @@
 	server             *Server
 	stream             *wire.Stream
 	name               string
-	wantsPeerLoads     *atomic.Bool // the follower asks for the aggregate of the other processes
-	registryRevision   uint64       // registry revision last sent
-	acceptsEarly       bool         // the follower takes a catalog that is not confirmed
-	catalogRevision    uint64       // revision of the confirmed catalog last sent
-	earlyRevision      uint64       // revision of the unconfirmed catalog last sent
-	verdictRevision    uint64       // revision of the verdicts last sent
+	wantsPeerLoads     *atomic.Bool   // the follower asks for the aggregate of the other processes
+	timesAsked         *atomic.Uint64 // how often it has begun to ask
+	spentSentFor       uint64         // timesAsked for which sentSpent holds
+	sentSpent          map[string]uint64
+	debtsSent          bool
+	registryRevision   uint64 // registry revision last sent
+	acceptsEarly       bool   // the follower takes a catalog that is not confirmed
+	catalogRevision    uint64 // revision of the confirmed catalog last sent
+	earlyRevision      uint64 // revision of the unconfirmed catalog last sent
+	verdictRevision    uint64 // revision of the verdicts last sent
 	storageHosts       []rpc.Member
 	controlHosts       []uint64  // replica IDs last sent
 	storageHostsSentAt time.Time // when the storage hosts were last sent
@@ -125,6 +133,7 @@
 	}
 	p.lastSent = now
 	push.ConfirmedAgeMS = p.server.confirmedAge()
+	push.AcceptsChanges = true
 	return p.stream.Send(&push)
 }
 
@@ -176,4 +185,24 @@
 	}
 	p.peerLoadsSentAt = now
 	push.PeerLoads = p.server.registry.sumPeerLoads(now, p.name)
+	if !p.debtsSent {
+		push.PeerLoads.Debts = p.server.registry.largestDebts(now)
+		p.debtsSent = push.PeerLoads.Gateways > 0
+	}
+	p.keepChanges(push.PeerLoads.Spent)
+}
+
+// keepChanges removes what the follower knows already. After a time in which it did
+// not ask, it may have forgotten it.
+func (p *pusher) keepChanges(spent map[string]uint64) {
+	if asked := p.timesAsked.Load(); asked != p.spentSentFor || p.sentSpent == nil {
+		p.spentSentFor, p.sentSpent = asked, make(map[string]uint64)
+	}
+	for workspace, tokens := range spent {
+		if sent, known := p.sentSpent[workspace]; known && sent == tokens {
+			delete(spent, workspace)
+			continue
+		}
+		p.sentSpent[workspace] = tokens
+	}
 }
--- a/services/follow/feed.go
+++ b/services/follow/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -71,9 +72,10 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer cancel()
+	var acceptsChanges atomic.Bool
 	wg.Go(func() {
 		defer stream.Close()
-		f.sendReports(ctx, addr, stream)
+		f.sendReports(ctx, addr, stream, &acceptsChanges)
 	})
 	for {
 		if err := stream.SetDeadline(time.Now().Add(stallTimeout)); err != nil {
@@ -83,13 +85,17 @@
 		if err := stream.Recv(&push); err != nil {
 			return err
 		}
+		if push.AcceptsChanges {
+			acceptsChanges.Store(true)
+		}
 		f.ApplyPush(time.Now(), addr, &push)
 	}
 }
 
 // sendReports sends this process's load to the control host until the stream
 // fails or ctx ends.
-func (f *Follower) sendReports(ctx context.Context, addr string, stream *wire.Stream) {
+func (f *Follower) sendReports(ctx context.Context, addr string, stream *wire.Stream, acceptsChanges *atomic.Bool) {
+	var changes reportChanges
 	var sentAt time.Time
 	var sentLoads map[string]placement.Load
 	sentWantsPeerLoads := false
@@ -112,7 +118,11 @@
 		if maps.Equal(loads, sentLoads) && limitSequence == sentLimitSequence && wantsPeerLoads == sentWantsPeerLoads && time.Since(sentAt) < idleReportInterval {
 			continue
 		}
-		if err := stream.Send(&rpc.FollowPing{Load: f.memberLoad(), WantsPeerLoads: wantsPeerLoads, AcceptsEarly: f.cfg.AcceptEarly}); err != nil {
+		load := f.memberLoad()
+		if acceptsChanges.Load() {
+			changes.reduce(time.Now(), &load)
+		}
+		if err := stream.Send(&rpc.FollowPing{Load: load, WantsPeerLoads: wantsPeerLoads, AcceptsEarly: f.cfg.AcceptEarly}); err != nil {
 			return
 		}
 		sentAt, sentLoads, sentWantsPeerLoads, sentLimitSequence = time.Now(), loads, wantsPeerLoads, limitSequence
