services/standin: a question about a target's health is no run

Traced: a control host now asks the targets that it remembers about their health, and the stand-in counted every request as a run. The protocol serves health apart from requests; the check was right, the stand-in lacked that line. Change: the stand-in answers at its health path and names itself there, so that the soak plays recalls too.

--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -64,10 +64,14 @@
 	crashed chan struct{} // closed when a request has ended the target
 
 	mu        sync.Mutex
+	health    string // header that names the target in responses about its health; empty: none
 	behaviour func(id string) Behaviour
 	runs      []*Run
 }
 
+// HealthPath is the path at which a stub target answers about its health.
+const HealthPath = "/healthz"
+
 // HeaderNames returns generic header names, for tests that do not depend on those
 // of a platform.
 func HeaderNames() targetcall.HeaderNames {
@@ -118,6 +122,24 @@
 	t.behaviour = behaviour
 }
 
+// NameInHealth makes responses about the target's health name it in a header.
+func (t *Target) NameInHealth(header string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.health = header
+}
+
+// serveHealth answers a question about the target's health, which is no run.
+func (t *Target) serveHealth(w http.ResponseWriter) {
+	t.mu.Lock()
+	header := t.health
+	t.mu.Unlock()
+	if header != "" {
+		w.Header().Set(header, t.ID)
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
 // Runs returns the requests that the target has started to run.
 func (t *Target) Runs() []Run {
 	t.mu.Lock()
@@ -131,6 +153,10 @@
 
 // ServeHTTP handles one request as configured.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Path == HealthPath {
+		t.serveHealth(w)
+		return
+	}
 	id := r.Header.Get(t.headers.RequestID)
 	w.Header().Set(t.headers.RequestID, id)
 	t.mu.Lock()
--- a/tests/site/harness.go
+++ b/tests/site/harness.go
@@ -143,6 +143,7 @@
 }
 
 func (s *Site) addTarget(t *standin.Target, addr, service string, slots int) *targetReporter {
+	t.NameInHealth(platform.HealthHeaders().Target)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.mu.Lock()
 	reporter := &targetReporter{target: t, addr: addr, service: service, zone: s.zones[len(s.targets)%len(s.zones)],
@@ -208,7 +209,7 @@
 	}
 	serviceList := make([]map[string]any, 0, len(services))
 	for _, name := range services {
-		service := map[string]any{"name": name, "health_path": "/healthz", "max_conns": 100}
+		service := map[string]any{"name": name, "health_path": standin.HealthPath, "max_conns": 100}
 		if name != PlainService {
 			service["engine"] = map[string]any{"slots": 8}
 		}
