core/roster: a target that deregisters where nobody knows it is gone everywhere

Ruled out: slow pushes (10 ms), reports that come back as ready (none in the log). Change: such a target is stored as gone and pushed; a follower ends the process it knows, unless that has reported since. TestGoneProcessDoesNotReturn held that the unknown target is ignored; the trace shows that this is wrong. It now requires that the deregistration is kept, and TestDeregistrationAtHostThatDoesNotKnowTarget that it ends the right process and no other.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -82,6 +82,9 @@
 // delayed report of the other one is stale.
 func (r *Roster) Merge(receivedAt time.Time, report Report) MergeResult {
 	known := r.byID[report.ID]
+	if known != nil && report.State == Gone && report.Incarnation == 0 {
+		return r.endKnown(receivedAt, known)
+	}
 	if known != nil && !supersedes(&report, known) {
 		return Stale
 	}
@@ -131,24 +134,30 @@
 }
 
 // Deregister records that a process of a target has shut down. If incarnation is
-// 0, it applies to the known process. An unknown id with an incarnation is stored
-// as Gone, because other processes may know the target and because delayed reports
-// of that process must be ignored.
+// 0, it applies to the known process. An unknown id is stored as Gone, because other
+// processes may know the target and because delayed reports of that process must be
+// ignored.
 func (r *Roster) Deregister(receivedAt time.Time, id string, incarnation int64) MergeResult {
 	known := r.byID[id]
 	if known == nil || incarnation > known.Incarnation {
-		if incarnation == 0 {
-			return Stale
-		}
 		return r.Merge(receivedAt, Report{ID: id, Incarnation: incarnation, State: Gone})
 	}
 	if known.State == Gone || incarnation != 0 && incarnation < known.Incarnation {
 		return Stale
 	}
+	return r.endKnown(receivedAt, known)
+}
+
+// endKnown marks the known process of a target as Gone, unless it has reported after
+// that.
+func (r *Roster) endKnown(receivedAt time.Time, known *Record) MergeResult {
+	if known.State == Gone || known.ReceivedAt.After(receivedAt) {
+		return Stale
+	}
 	next := *known
 	next.State = Gone
 	next.ReceivedAt = receivedAt
-	r.byID[id] = &next
+	r.byID[next.ID] = &next
 	if r.byAddr[next.Addr] == known {
 		r.byAddr[next.Addr] = &next
 	}
