One piece for spent tokens that have changed, one for a process's position at a target

Cause: the loop that keeps what has changed stood in services/director (sums) and services/follow (reports); the hash of a process and a target stood in core/placement's limits and in its cold targets. Found when the change was read once more. Change: core/quota KeepChanges serves both; Targets.position serves both. A first report goes through the same loop as later ones. Behaviour is the same but for a process without buckets, whose second report now says ChangesOnly with nothing in it.

--- a/core/placement/cold.go
+++ b/core/placement/cold.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"hash/fnv"
-	"math"
 	"time"
 
 	"banyanwalk/core/roster"
@@ -55,9 +53,7 @@
 	if t.limitSharer == "" {
 		return max(1, rate*coldBurstSeconds)
 	}
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(t.limitSharer + "\x00" + id)) // never fails
-	return float64(h.Sum64()) / math.MaxUint64
+	return t.position(id)
 }
 
 // useColdAllowance takes a token of a cold target's bucket.
--- a/core/placement/ratelimit.go
+++ b/core/placement/ratelimit.go
@@ -242,14 +242,20 @@
 	if t.processes <= fallbackProcesses {
 		return fallbackRateShare / float64(t.processes)
 	}
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(t.limitSharer + "\x00" + id)) // never fails
-	if float64(h.Sum64())/math.MaxUint64*float64(t.processes) >= fallbackProcesses {
+	if t.position(id)*float64(t.processes) >= fallbackProcesses {
 		return 0
 	}
 	return fallbackRateShare / fallbackProcesses
 }
 
+// position returns a number from 0 to 1 that differs between the processes, and for
+// one process between the targets. The caller holds the lock.
+func (t *Targets) position(id string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(t.limitSharer + "\x00" + id)) // never fails
+	return float64(h.Sum64()) / math.MaxUint64
+}
+
 // underRateLimit reports whether a target's limit allows one more request. Batch
 // items use what online requests leave. The caller holds the lock.
 func (t *Targets) underRateLimit(now time.Time, r *roster.Record, batch bool) bool {
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -92,6 +92,17 @@
 	return spent
 }
 
+// KeepChanges removes from spent what sent holds already, and adds the rest to sent.
+func KeepChanges(spent, sent map[string]uint64) {
+	for workspace, tokens := range spent {
+		if before, known := sent[workspace]; known && before == tokens {
+			delete(spent, workspace)
+			continue
+		}
+		sent[workspace] = tokens
+	}
+}
+
 // ApplyReport deducts what other gateways have spent since the previous report
 // of the same source. A source reports totals since its own start, so its first
 // report only sets the baseline.
--- a/services/director/follow.go
+++ b/services/director/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"banyanwalk/core/quota"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/wire"
 	"banyanwalk/services/replicated"
@@ -198,11 +199,5 @@
 	if asked := p.timesAsked.Load(); asked != p.spentSentFor || p.sentSpent == nil {
 		p.spentSentFor, p.sentSpent = asked, make(map[string]uint64)
 	}
-	for workspace, tokens := range spent {
-		if sent, known := p.sentSpent[workspace]; known && sent == tokens {
-			delete(spent, workspace)
-			continue
-		}
-		p.sentSpent[workspace] = tokens
-	}
+	quota.KeepChanges(spent, p.sentSpent)
 }
--- a/services/follow/report_changes.go
+++ b/services/follow/report_changes.go
@@ -1,9 +1,9 @@
 package follow
 
 import (
-	"maps"
 	"time"
 
+	"banyanwalk/core/quota"
 	"banyanwalk/infra/rpc"
 )
 
@@ -20,19 +20,11 @@
 
 // reduce removes from a report what the receiver knows from the previous ones.
 func (c *reportChanges) reduce(now time.Time, load *rpc.MemberLoad) {
+	load.ChangesOnly = c.spent != nil
 	if c.spent == nil {
-		c.spent, c.debtsAt = load.Spent, now
-		load.Spent = maps.Clone(load.Spent)
-		return
-	}
-	load.ChangesOnly = true
-	for workspace, tokens := range load.Spent {
-		if sent, known := c.spent[workspace]; known && sent == tokens {
-			delete(load.Spent, workspace)
-			continue
-		}
-		c.spent[workspace] = tokens
+		c.spent = make(map[string]uint64)
 	}
+	quota.KeepChanges(load.Spent, c.spent)
 	if now.Sub(c.debtsAt) < debtsInterval {
 		load.Debts = nil
 		return
