services/control/replica: one ticker drives a replica, also while it saves

Cause: each save made and stopped a ticker of its own, on the path of every replicated command; two loops made theirs as well. Change: Run makes one ticker, which the loop, the wait for the disk and the transfer of the leadership share. They take turns on one goroutine, so none misses a tick that another needs.

--- a/services/control/replica/loop.go
+++ b/services/control/replica/loop.go
@@ -26,6 +26,8 @@
 // the files.
 func (r *Replica) Run(ctx context.Context) error {
 	runCtx, cancel := context.WithCancelCause(ctx)
+	r.ticker = time.NewTicker(r.cfg.HeartbeatInterval / ticksPerHeartbeat)
+	defer r.ticker.Stop()
 	var wg conc.WaitGroup
 	wg.Go(func() {
 		if err := r.applier.run(); err != nil {
@@ -51,8 +53,6 @@
 
 // loop runs the consensus until ctx ends.
 func (r *Replica) loop(ctx context.Context) error {
-	ticker := time.NewTicker(r.cfg.HeartbeatInterval / ticksPerHeartbeat)
-	defer ticker.Stop()
 	for {
 		if err := r.processReady(); err != nil {
 			return err
@@ -60,7 +60,7 @@
 		select {
 		case <-ctx.Done():
 			return r.transferLeadership()
-		case <-ticker.C:
+		case <-r.ticker.C:
 			r.stepMessages() // what arrived during a stall counts before the time that passed
 			r.tick()
 		case <-r.inbox.wake:
@@ -83,8 +83,6 @@
 func (r *Replica) transferLeadership() error {
 	deadline := time.NewTimer(r.cfg.ElectionTimeout)
 	defer deadline.Stop()
-	ticker := time.NewTicker(r.cfg.HeartbeatInterval / ticksPerHeartbeat)
-	defer ticker.Stop()
 	for r.core.Status().Role == raft.Leader && !r.core.TransferLeadership(time.Now()) {
 		if err := r.processReady(); err != nil {
 			return err
@@ -92,7 +90,7 @@
 		select {
 		case <-deadline.C:
 			return nil
-		case <-ticker.C:
+		case <-r.ticker.C:
 			r.tick()
 		case <-r.inbox.wake:
 			r.stepMessages()
--- a/services/control/replica/replica.go
+++ b/services/control/replica/replica.go
@@ -22,6 +22,7 @@
 	saver                 *saver
 	core                  *raft.Raft     // owned by the loop
 	deferred              []raft.Message // received while the disk was busy; owned by the loop
+	ticker                *time.Ticker   // drives the consensus; owned by the loop
 	applier               *applier
 	pending               *pendingProposals
 	readCalls             *queue[*readCall]
--- a/services/control/replica/saving.go
+++ b/services/control/replica/saving.go
@@ -40,14 +40,12 @@
 func (r *Replica) save(batch wal.Batch) error {
 	started := time.Now()
 	r.saver.batches <- batch
-	ticker := time.NewTicker(r.cfg.HeartbeatInterval / ticksPerHeartbeat)
-	defer ticker.Stop()
 	for {
 		select {
 		case err := <-r.saver.results:
 			r.logSlowSync(time.Since(started), len(batch.Entries))
 			return err
-		case <-ticker.C:
+		case <-r.ticker.C:
 			r.stepWhileSaving()
 			r.tickWhileSaving(time.Since(started))
 		case <-r.inbox.wake:
