core/placement: one token bucket for limits and for cold targets

Cause: the refill of a bucket stood in ratelimit.go and in cold.go, and the burst of a cold target was computed in two places. Change: type bucket with refill; rateLimit embeds it, cold targets hold it. Result: core/placement passes (limits, cold targets with up to 250 gateways, returns); no test was changed.

--- a/core/placement/cold.go
+++ b/core/placement/cold.go
@@ -14,12 +14,6 @@
 	coldBurstSeconds = 0.25
 )
 
-// allowance is a token bucket for the requests of this process to one cold target.
-type allowance struct {
-	tokens   float64
-	filledAt time.Time
-}
-
 // underWarmupLimit reports whether a cold target can take one more request from
 // this process. Warm targets always can. The parts of all processes together stay
 // within the rate also where there are more processes than requests a second.
@@ -30,12 +24,10 @@
 	rate := q.WarmupPerSecond * t.coldShare()
 	a := t.coldAllowances[r.ID]
 	if a == nil {
-		a = &allowance{tokens: t.firstTokens(r.ID, rate), filledAt: now}
+		a = &bucket{tokens: t.firstTokens(r.ID, rate), filledAt: now}
 		t.coldAllowances[r.ID] = a
 	}
-	burst := max(1, rate*coldBurstSeconds)
-	a.tokens = min(burst, a.tokens+rate*now.Sub(a.filledAt).Seconds())
-	a.filledAt = now
+	a.refill(now, rate, coldBurst(rate))
 	return a.tokens >= 1
 }
 
@@ -47,11 +39,14 @@
 	return (1 - brokerColdShare) / float64(t.processes)
 }
 
+// coldBurst returns how many tokens the bucket of a cold target holds.
+func coldBurst(rate float64) float64 { return max(1, rate*coldBurstSeconds) }
+
 // firstTokens returns the initial tokens of a bucket: spread over the processes, so
 // that they don't all send their first request at the same moment.
 func (t *Targets) firstTokens(id string, rate float64) float64 {
 	if t.limitSharer == "" {
-		return max(1, rate*coldBurstSeconds)
+		return coldBurst(rate)
 	}
 	return t.position(id)
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -33,7 +33,7 @@
 	brokered       map[brokerTarget]int
 	peerLoads      map[string]Load
 	failures       map[string]*failureState
-	coldAllowances map[string]*allowance
+	coldAllowances map[string]*bucket
 	reservations   map[string][]time.Time // expiry times of slots reserved against batch items
 	processes      int                    // number of processes that share the warmup rate of a cold target
 	limits         map[string]*rateLimit  // that targets have named, by id
@@ -58,7 +58,7 @@
 		brokered:       make(map[brokerTarget]int),
 		peerLoads:      make(map[string]Load),
 		failures:       make(map[string]*failureState),
-		coldAllowances: make(map[string]*allowance),
+		coldAllowances: make(map[string]*bucket),
 		reservations:   make(map[string][]time.Time),
 		processes:      1,
 		limits:         make(map[string]*rateLimit),
--- a/core/placement/ratelimit.go
+++ b/core/placement/ratelimit.go
@@ -47,8 +47,7 @@
 	perSecond   float64   // 0: none
 	readAt      time.Time // when the response arrived
 	sequence    uint64    // of the report of this process; 0: another process has read it
-	tokens      float64
-	filledAt    time.Time
+	bucket
 }
 
 // burst returns how many tokens the bucket holds at a share of the limit.
@@ -56,10 +55,7 @@
 
 // refill adds the tokens that have become due at a share of the limit.
 func (l *rateLimit) refill(now time.Time, share float64) {
-	if elapsed := now.Sub(l.filledAt).Seconds(); elapsed > 0 {
-		l.tokens = min(l.burst(share), l.tokens+elapsed*l.perSecond*share)
-		l.filledAt = now
-	}
+	l.bucket.refill(now, l.perSecond*share, l.burst(share))
 }
 
 // ShareLimits makes this process one of several that place requests by themselves,
