--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -34,7 +34,7 @@
 	ContentEncoding string
 	RateLimit       string        // requests per second that the target names in its responses; empty: none
 	NoSignature     bool          // omit the signature header
-	Pause           time.Duration // between two events, and before a plain response
+	Pause           time.Duration // between two events, before a plain response, and before a crash
 	StrayResponse   bool          // send a response to another request first
 	Crash           bool          // end the target as soon as it runs the request
 	CrashInAnswer   bool          // end the target once the response has begun, within its first event or its body
@@ -179,6 +179,7 @@
 	}
 	run := t.recordRun(r, id)
 	if behaviour.Crash {
+		pause.For(r.Context(), behaviour.Pause)
 		t.Crash()
 		panic(http.ErrAbortHandler)
 	}
--- a/tests/site/restarts.go
+++ b/tests/site/restarts.go
@@ -12,8 +12,8 @@
 	"banyanwalk/services/standin"
 )
 
-// restartDelay is how long a crashed target is down.
-const restartDelay = time.Second
+// defaultRestartDelay is how long a crashed target is down.
+const defaultRestartDelay = time.Second
 
 // RestartingTargets are stub targets that start again at their address, under a
 // new id, after a request has ended them.
@@ -25,17 +25,19 @@
 	stop      context.CancelFunc
 	wg        conc.WaitGroup
 
-	mu     sync.Mutex
-	all    []*standin.Target // every incarnation
-	latest []*standin.Target // by number
-	errors []error           // of restarts
+	mu           sync.Mutex
+	restartDelay time.Duration
+	all          []*standin.Target // every incarnation
+	latest       []*standin.Target // by number
+	errors       []error           // of restarts
 }
 
 // AddRestartingTargets starts count targets whose behaviour is chosen by request
 // id. Stop must be called before Close of the site.
 func (s *Site) AddRestartingTargets(count int, service string, slots int, behaviour func(id string) standin.Behaviour) *RestartingTargets {
 	ctx, stop := context.WithCancel(context.Background())
-	r := &RestartingTargets{site: s, service: service, slots: slots, behaviour: behaviour, stop: stop, latest: make([]*standin.Target, count)}
+	r := &RestartingTargets{site: s, service: service, slots: slots, behaviour: behaviour, stop: stop,
+		latest: make([]*standin.Target, count), restartDelay: defaultRestartDelay}
 	for i := range count {
 		r.wg.Go(func() { r.run(ctx, i) })
 	}
@@ -75,11 +77,24 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(restartDelay):
+		case <-time.After(r.currentRestartDelay()):
 		}
 	}
 }
 
+// SetRestartDelay sets how long a crashed target is down from now on.
+func (r *RestartingTargets) SetRestartDelay(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.restartDelay = delay
+}
+
+func (r *RestartingTargets) currentRestartDelay() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.restartDelay
+}
+
 // Crash ends the targets with the given numbers, all at once.
 func (r *RestartingTargets) Crash(numbers ...int) {
 	r.mu.Lock()
