core/quarantine: variants of a request under other queries are one subject

Cause: the subject was a digest of host, URI with its query, and body, so under another query each time no count went beyond one. Ruled out: detection and reports, as the same request without the query is stopped at three. Change: beside the content, a request with a query has a second subject without it, kept in the same verdicts as parts of prompts are. Three crashes convict it if at least two queries crashed targets; a complete response to any of them clears it, and gateways leave out those that completed lately, so that sound queries are not convicted with a bad one.

--- a/core/quarantine/runs.go
+++ b/core/quarantine/runs.go
@@ -16,6 +16,9 @@
 	// maxRecordCrashes bounds the crashes kept with a record; more than
 	// maxBurstCrashes, since runs at the same time may count as one.
 	maxRecordCrashes = 16
+	// minVariants is the number of variants that must have crashed targets before
+	// all of them are quarantined.
+	minVariants = 2
 )
 
 // Run is a run of a request that ended with the crash of its target.
@@ -25,17 +28,19 @@
 	// when it sent the run. Runs that were sent in ignorance of each other's crash
 	// are one piece of evidence, not several.
 	KnownCrashes int       `msgpack:"k"`
-	Parts        []RunPart `msgpack:"p,omitempty"` // suspected parts of the prompt, in order
+	Parts        []RunPart `msgpack:"p,omitempty"` // what it shares with other requests, as far as suspected
 }
 
-// RunPart is a part of the prompt of a run that ended with the crash of its target.
+// RunPart is something that a run shares with runs of other requests: a part of its
+// prompt, or all but its query.
 type RunPart struct {
 	Digest       Digest `msgpack:"d"`
-	KnownCrashes int    `msgpack:"c"` // as in Run
+	KnownCrashes int    `msgpack:"c"`           // as in Run
+	Kind         Kind   `msgpack:"n,omitempty"` // PromptPart if it is not set, as in reports of earlier builds
 }
 
-// Subjects returns what the run tells against: its request and the parts of its
-// prompt.
+// Subjects returns what the run tells against: its request and what it shares with
+// others.
 func (r *Run) Subjects() []Ref {
 	refs := []Ref{r.Ref}
 	for i := range r.Parts {
@@ -45,7 +50,11 @@
 }
 
 func (r *Run) partRef(i int) Ref {
-	return Ref{Workspace: r.Workspace, Digest: r.Parts[i].Digest, Kind: PromptPart}
+	kind := r.Parts[i].Kind
+	if kind == Content {
+		kind = PromptPart
+	}
+	return Ref{Workspace: r.Workspace, Digest: r.Parts[i].Digest, Kind: kind}
 }
 
 // runCrash is a crash reported by RecordRuns.
@@ -67,6 +76,9 @@
 // For a prompt part, the crashes of one request count once: they tell against that
 // request. The parts of sound requests stand beside a bad one, but they also stand
 // in responses that complete, which clears them.
+//
+// For variants, each crash counts, but they are quarantined only if at least two of
+// them crashed targets: a single one is quarantined by itself.
 func (q *Verdicts) RecordRuns(index uint64, crash Crash, runs []Run, atMS int64) bool {
 	at := q.findRunCrash(crash, atMS)
 	runs = slices.Clone(runs)
@@ -143,30 +155,36 @@
 		part := &run.Parts[i]
 		ref := run.partRef(i)
 		record, found := q.records[ref]
-		if slices.Contains(record.Contents, run.Digest) {
+		counted := slices.Contains(record.Contents, run.Digest)
+		atCrash := slices.Contains(record.Crashes, q.runCrashes[at].Crash)
+		if counted && (ref.Kind == PromptPart || atCrash) {
 			continue
 		}
 		count := record.Verdict.Crashes
-		if part.KnownCrashes >= count && !slices.Contains(record.Crashes, q.runCrashes[at].Crash) {
+		if part.KnownCrashes >= count && !atCrash {
 			count++
 		}
-		record.Contents = append(slices.Clone(record.Contents), run.Digest)
-		record.Contents = record.Contents[max(0, len(record.Contents)-maxRecordCrashes):]
-		record.Verdict.With = companions(&record, found, run.Parts, part.Digest)
+		if !counted {
+			record.Contents = append(slices.Clone(record.Contents), run.Digest)
+			record.Contents = record.Contents[max(0, len(record.Contents)-maxRecordCrashes):]
+		}
+		if ref.Kind == PromptPart {
+			record.Verdict.With = companions(&record, found, run, part.Digest)
+		}
 		q.count(index, &q.runCrashes[at], ref, record, count)
 		change = true
 	}
 	return change
 }
 
-// companions returns the parts that stood in each request counted for a part,
-// including one with the given parts.
-func companions(record *Record, found bool, parts []RunPart, of Digest) []Digest {
+// companions returns the prompt parts that stood in each request counted for a part,
+// including that of the given run.
+func companions(record *Record, found bool, run *Run, of Digest) []Digest {
 	var with []Digest
-	for i := range parts {
-		digest := parts[i].Digest
-		if digest != of && (!found || slices.Contains(record.Verdict.With, digest)) {
-			with = append(with, digest)
+	for i := range run.Parts {
+		other := run.partRef(i)
+		if other.Kind == PromptPart && other.Digest != of && (!found || slices.Contains(record.Verdict.With, other.Digest)) {
+			with = append(with, other.Digest)
 		}
 	}
 	return with
@@ -183,13 +201,14 @@
 		record.Crashes = record.Crashes[max(0, len(record.Crashes)-maxRecordCrashes):]
 	}
 	level := max(record.Verdict.Level, Suspect)
-	if count >= maxBurstCrashes || count >= maxSuspectCrashes && !q.inBurst(&record, crash.AtMS) {
+	convictable := ref.Kind != Variants || len(record.Contents) >= minVariants
+	if convictable && (count >= maxBurstCrashes || count >= maxSuspectCrashes && !q.inBurst(&record, crash.AtMS)) {
 		level = Quarantined
 	}
 	q.records[ref] = record
 	q.set(index, ref, level, count, record.CrashIndex, max(crash.AtMS, record.LastCrashMS))
-	if ref.Kind == PromptPart && level < Quarantined {
-		return // parts of sound requests explain no crash
+	if ref.Kind != Content && level < Quarantined {
+		return // what sound requests share too explains no crash
 	}
 	crash.MostCrashes = max(crash.MostCrashes, count)
 	if count >= maxSuspectCrashes {
--- a/core/quarantine/runs_test.go
+++ b/core/quarantine/runs_test.go
@@ -348,3 +348,42 @@
 	}
 	assert.Equal(t, 1, table.records[part(9)].Verdict.Crashes)
 }
+
+func variants(n byte) RunPart { return RunPart{Digest: Digest{n, 2}, Kind: Variants} }
+
+// Requests that differ in their query are quarantined together only if several of them
+// crashed targets, and a complete response to any of them speaks for the others.
+func TestVariantsAreQuarantinedOnEvidenceAgainstSeveral(t *testing.T) {
+	all := Ref{Workspace: "w", Digest: variants(9).Digest, Kind: Variants}
+	crash := func(table *runTable, n int, query byte) {
+		known := table.records[all].Verdict.Crashes
+		part := variants(9)
+		part.KnownCrashes = known
+		run := Run{Ref: ref(query), KnownCrashes: table.records[ref(query)].Verdict.Crashes, Parts: []RunPart{part}}
+		table.RecordRuns(uint64(n), Crash{Target: "t", Incarnation: uint64(n)}, []Run{run}, int64(n)*1000)
+	}
+	for name, c := range map[string]struct {
+		queries []byte
+		want    Suspicion
+	}{
+		"one query":              {[]byte{1, 1, 1, 1}, Suspect},
+		"another query":          {[]byte{1, 2, 3}, Quarantined},
+		"two queries in turn":    {[]byte{1, 2, 1}, Quarantined},
+		"another after the same": {[]byte{1, 1, 1, 2}, Quarantined},
+		"two crashes":            {[]byte{1, 2}, Suspect},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newRunTable()
+			for n, query := range c.queries {
+				crash(table, n+1, query)
+			}
+			assert.Equal(t, c.want, table.records[all].Verdict.Level)
+		})
+	}
+	table := newRunTable()
+	crash(table, 1, 1)
+	crash(table, 2, 2)
+	table.Complete(3, []Ref{all, ref(3)})
+	crash(table, 4, 1)
+	assert.Equal(t, Suspect, table.records[all].Verdict.Level)
+}
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// Digest identifies a subject within its workspace: a request by path and body, a
-// part of a prompt by its id.
+// Digest identifies a subject within its workspace: a request by path, query and
+// body, its variants by path and body, a part of a prompt by its id.
 type Digest [16]byte
 
 // String returns the digest in hex.
@@ -42,16 +42,21 @@
 
 // The kinds of subjects.
 const (
-	Content    Kind = iota // a request, by path and body
+	Content    Kind = iota // a request, by path, query and body
 	PromptPart             // a part that the prompts of several requests share
+	Variants               // requests that differ in nothing but their query
 )
 
 // String returns the name of the kind as used in logs.
 func (k Kind) String() string {
-	if k == PromptPart {
+	switch k {
+	case PromptPart:
 		return "prompt_part"
+	case Variants:
+		return "variants"
+	default:
+		return "content"
 	}
-	return "content"
 }
 
 // Ref identifies the subject of a verdict.
--- a/core/quarantine/verdicts.go
+++ b/core/quarantine/verdicts.go
@@ -32,7 +32,7 @@
 	LastCrashMS int64   `msgpack:"a"`           // time of the last crash
 	Convicted   bool    `msgpack:"q,omitempty"` // is or was quarantined
 	Crashes     []Crash `msgpack:"n,omitempty"` // the newest crashes at which it ran, of RecordRuns only
-	// Contents are the requests counted in the verdict on a prompt part.
+	// Contents are the requests counted in the verdict on a prompt part or on variants.
 	Contents []Digest `msgpack:"o,omitempty"`
 }
 
--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -125,7 +125,13 @@
 // ended reading the body.
 func (f *fixture) send(path, id string, headers ...string) (responseHead, string, error) {
 	f.t.Helper()
-	request, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+f.addr+path, strings.NewReader("body of "+id))
+	return f.sendWithBody(path, id, "body of "+id, headers...)
+}
+
+// sendWithBody is send with a given body.
+func (f *fixture) sendWithBody(path, id, sent string, headers ...string) (responseHead, string, error) {
+	f.t.Helper()
+	request, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+f.addr+path, strings.NewReader(sent))
 	require.NoError(f.t, err)
 	request.Host = routeHost
 	request.Header.Set("X-Id", id)
--- a/services/entry/innocent.go
+++ b/services/entry/innocent.go
@@ -9,58 +9,74 @@
 
 const (
 	// innocentWindow is how long, at least, a complete response to a request speaks
-	// for the parts of its prompt.
+	// for what it shares with others.
 	innocentWindow = 5 * time.Second
-	// maxInnocentParts bounds the parts remembered of one workspace in each window.
-	maxInnocentParts = 512
-	// maxInnocentWorkspaces bounds the workspaces remembered in each window.
-	maxInnocentWorkspaces = 256
+	// maxInnocentSubjects bounds the subjects of a kind that are remembered of one
+	// workspace in each window.
+	maxInnocentSubjects = 512
+	// maxInnocentGroups bounds the groups of subjects remembered in each window.
+	maxInnocentGroups = 512
 )
 
-// innocentParts remembers which prompt parts stood in complete responses of this
-// gateway within the last one to two innocentWindows. It is safe for concurrent use.
-type innocentParts struct {
+// innocentSubjects remembers what the requests shared that got complete responses of
+// this gateway within the last one to two innocentWindows. It is safe for concurrent
+// use.
+type innocentSubjects struct {
 	mu       sync.Mutex
 	since    time.Time // start of current
-	current  partSet
-	previous partSet
+	current  subjectSet
+	previous subjectSet
 }
 
-// partSet holds parts by workspace.
-type partSet map[string]map[quarantine.Digest]struct{}
+// subjectGroup is what the bounds apply to: the subjects of one kind in a workspace.
+type subjectGroup struct {
+	workspace string
+	kind      quarantine.Kind
+}
+
+func groupOf(ref quarantine.Ref) subjectGroup {
+	return subjectGroup{workspace: ref.Workspace, kind: ref.Kind}
+}
 
-// add remembers parts.
-func (p *innocentParts) add(now time.Time, parts []quarantine.Ref) {
+// subjectSet holds subjects by group.
+type subjectSet map[subjectGroup]map[quarantine.Digest]struct{}
+
+// add remembers subjects.
+func (p *innocentSubjects) add(now time.Time, subjects []quarantine.Ref) {
+	if len(subjects) == 0 {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.rotate(now)
-	for _, ref := range parts {
-		digests := p.current[ref.Workspace]
+	for _, ref := range subjects {
+		group := groupOf(ref)
+		digests := p.current[group]
 		if digests == nil {
-			if len(p.current) >= maxInnocentWorkspaces {
+			if len(p.current) >= maxInnocentGroups {
 				continue
 			}
 			digests = make(map[quarantine.Digest]struct{})
-			p.current[ref.Workspace] = digests
+			p.current[group] = digests
 		}
-		if len(digests) < maxInnocentParts {
+		if len(digests) < maxInnocentSubjects {
 			digests[ref.Digest] = struct{}{}
 		}
 	}
 }
 
-// has reports whether a part is remembered.
-func (p *innocentParts) has(part quarantine.Ref) bool {
+// has reports whether a subject is remembered.
+func (p *innocentSubjects) has(ref quarantine.Ref) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.rotate(time.Now())
-	_, current := p.current[part.Workspace][part.Digest]
-	_, previous := p.previous[part.Workspace][part.Digest]
+	_, current := p.current[groupOf(ref)][ref.Digest]
+	_, previous := p.previous[groupOf(ref)][ref.Digest]
 	return current || previous
 }
 
 // rotate starts a new window when one is due. The caller holds the lock.
-func (p *innocentParts) rotate(now time.Time) {
+func (p *innocentSubjects) rotate(now time.Time) {
 	elapsed := now.Sub(p.since)
 	if p.current != nil && elapsed < innocentWindow {
 		return
@@ -69,5 +85,5 @@
 	if elapsed >= 2*innocentWindow {
 		p.previous = nil
 	}
-	p.current, p.since = make(partSet), now
+	p.current, p.since = make(subjectSet), now
 }
--- a/services/entry/prompt_parts_test.go
+++ b/services/entry/prompt_parts_test.go
@@ -115,7 +115,7 @@
 	require.NotNil(t, report)
 	require.Len(t, report.Crashes, 1)
 	require.Len(t, report.Crashes[0].Runs, 1)
-	assert.Equal(t, []quarantine.RunPart{{Digest: partRef("other").Digest}}, report.Crashes[0].Runs[0].Parts)
+	assert.Equal(t, []quarantine.RunPart{{Digest: partRef("other").Digest, Kind: quarantine.PromptPart}}, report.Crashes[0].Runs[0].Parts)
 
 	f.applyVerdicts(partVerdict("common", quarantine.Quarantined, 3, 5))
 	known := f.gateway.suspects.assess(&subjects{parts: auth.PromptPartRefs("w1", []string{"common"})})
@@ -138,18 +138,18 @@
 }
 
 func TestInnocentPartsAreBoundedAndForgotten(t *testing.T) {
-	var parts innocentParts
+	var parts innocentSubjects
 	now := time.Now()
-	for n := range 2 * maxInnocentParts {
+	for n := range 2 * maxInnocentSubjects {
 		parts.add(now, auth.PromptPartRefs("w1", []string{fmt.Sprint(n)}))
 	}
-	assert.Len(t, parts.current["w1"], maxInnocentParts)
+	assert.Len(t, parts.current[groupOf(partRef("1"))], maxInnocentSubjects)
 	parts.add(now, auth.PromptPartRefs("w2", []string{"1"}))
 	assert.True(t, parts.has(auth.PromptPartRefs("w2", []string{"1"})[0]), "another workspace does not take its room")
-	for n := range 2 * maxInnocentWorkspaces {
+	for n := range 2 * maxInnocentGroups {
 		parts.add(now, auth.PromptPartRefs(fmt.Sprint("workspace", n), []string{"1"}))
 	}
-	assert.Len(t, parts.current, maxInnocentWorkspaces)
+	assert.Len(t, parts.current, maxInnocentGroups)
 	assert.True(t, parts.has(partRef("1")))
 	parts.rotate(now.Add(innocentWindow))
 	assert.True(t, parts.has(partRef("1")))
--- a/services/entry/suspects.go
+++ b/services/entry/suspects.go
@@ -30,7 +30,7 @@
 	started  time.Time
 
 	localCount atomic.Int64 // verdicts in local
-	innocent   innocentParts
+	innocent   innocentSubjects
 
 	mu    sync.Mutex
 	local *quarantine.Verdicts
--- a/services/entry/suspicion.go
+++ b/services/entry/suspicion.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"banyanwalk/core/auth"
@@ -9,35 +10,43 @@
 	"banyanwalk/core/quarantine"
 )
 
-// probableCrashes is the number of crashes from which on a prompt part probably
-// causes them: a request with it is isolated, and not sent again after a failure.
+// probableCrashes is the number of crashes from which on something that requests
+// share probably causes them: a request with it is isolated, and not sent again after
+// a failure.
 const probableCrashes = 2
 
 // subjects identifies what a request may be suspected for.
 type subjects struct {
 	content quarantine.Ref
-	parts   []quarantine.Ref // of its prompt, in the order of call.parts
+	parts   []quarantine.Ref // what it shares with other requests
 }
 
-// identify returns the subjects of the request: its content by workspace, host, path
-// and body, and the shared parts of its prompt. The request id and the resume point
-// differ between attempts and don't count.
+// identify returns the subjects of the request: its content by workspace, host, path,
+// query and body, and what it shares with others. The method, the request id, other
+// headers and the resume point may differ between attempts and don't count.
 func (f *forwarding) identify() *subjects {
 	if f.subjects == nil {
 		workspace := f.call.workspaceName()
 		f.subjects = &subjects{
-			content: quarantine.Ref{Workspace: workspace, Digest: auth.RequestDigest(workspace, f.request.Host+f.request.URI, f.request.Body)},
-			parts:   f.promptParts(),
+			content: quarantine.Ref{Workspace: workspace, Digest: auth.RequestDigest(workspace, f.call.route.Host+f.request.URI, f.request.Body)},
+			parts:   f.shared(),
 		}
 	}
 	return f.subjects
 }
 
-// promptParts identifies the shared parts of the prompt. Unlike the content, they are
-// needed for each complete response.
-func (f *forwarding) promptParts() []quarantine.Ref {
-	if f.parts == nil {
-		f.parts = auth.PromptPartRefs(f.call.workspaceName(), f.call.parts)
+// shared identifies what the request shares with others: parts of its prompt, and all
+// but its query if it has one. Unlike the content, this is needed for each complete
+// response.
+func (f *forwarding) shared() []quarantine.Ref {
+	if f.parts != nil {
+		return f.parts
+	}
+	workspace := f.call.workspaceName()
+	f.parts = auth.PromptPartRefs(workspace, f.call.parts)
+	if path, _, found := strings.Cut(f.request.URI, "?"); found {
+		f.parts = append(f.parts, quarantine.Ref{Workspace: workspace, Kind: quarantine.Variants,
+			Digest: auth.RequestDigest(workspace, f.call.route.Host+path, f.request.Body)})
 	}
 	return f.parts
 }
@@ -57,20 +66,21 @@
 	return a.content.crashes > 0 || a.probable()
 }
 
-// probable reports whether a part of the prompt probably crashes targets.
+// probable reports whether something that the request shares with others probably
+// crashes targets.
 func (a *assessment) probable() bool {
 	return slices.ContainsFunc(a.parts, func(s suspicion) bool { return s.crashes >= probableCrashes })
 }
 
-// run returns the run that a crash of the target is recorded with, without the parts
-// that are innocent.
+// run returns the run that a crash of the target is recorded with, without what is
+// innocent.
 func (a *assessment) run(s *subjects, innocent func(part quarantine.Ref) bool) quarantine.Run {
 	run := quarantine.Run{Ref: s.content, KnownCrashes: a.content.crashes}
 	for i, ref := range s.parts {
 		if innocent(ref) {
 			continue
 		}
-		part := quarantine.RunPart{Digest: ref.Digest}
+		part := quarantine.RunPart{Digest: ref.Digest, Kind: ref.Kind}
 		if i < len(a.parts) {
 			part.KnownCrashes = a.parts[i].crashes
 		}
@@ -129,12 +139,10 @@
 }
 
 // noteCompleted records a complete response, which clears what is suspected of the
-// request and the parts of its prompt.
+// request and of what it shares with others.
 func (f *forwarding) noteCompleted() {
 	s := f.server.suspects
-	if len(f.call.parts) > 0 {
-		s.innocent.add(f.call.started, f.promptParts())
-	}
+	s.innocent.add(f.call.started, f.shared())
 	if s.empty() {
 		return
 	}
