core/quarantine: runs of a suspect are trials, one at a time in all machines

What callers saw: many copies of one request, sent together, ended all targets of a service, and after they were back the next round ended them again; sound requests went without an answer meanwhile. Cause: runs sent in ignorance of each other's crash are one piece of evidence, and until the third piece every copy was placed as if it were sound. Ruled out: identity (the copies are alike), reports (each crash is logged). Change: after a crash a new attempt of the request, and after two crashes each run of it, needs a trial from the control group's log. Two crashes in trials convict also during a burst.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -20,6 +20,7 @@
 	Retire     *RetireHost       `msgpack:"r,omitempty"`
 	Runs       *ReportRuns       `msgpack:"q,omitempty"`
 	Expire     *ExpireVerdicts   `msgpack:"e,omitempty"`
+	Trial      *BeginTrial       `msgpack:"y,omitempty"`
 }
 
 // PutDocument puts a routing document in force if its version is higher than
@@ -67,6 +68,15 @@
 	AtMS int64 `msgpack:"a"` // time of the proposer's group clock, milliseconds since 1970
 }
 
+// BeginTrial asks for the only run of a suspect.
+type BeginTrial struct {
+	AtMS  int64            `msgpack:"a"` // time of the proposer's group clock, milliseconds since 1970
+	Ref   quarantine.Ref   `msgpack:"r"`
+	Trial quarantine.Trial `msgpack:"t"`
+	// AtOnce is how many trials of the service may be under way.
+	AtOnce int `msgpack:"n"`
+}
+
 // AtMS returns the time of a command that carries one, else 0, in milliseconds
 // since 1970.
 func (c *Command) AtMS() int64 {
@@ -75,6 +85,8 @@
 		return c.Runs.AtMS
 	case c.Expire != nil:
 		return c.Expire.AtMS
+	case c.Trial != nil:
+		return c.Trial.AtMS
 	default:
 		return 0
 	}
@@ -115,6 +127,8 @@
 type Result struct {
 	Changed         bool           // the State has changed
 	VerdictsChanged bool           // the verdicts have changed
+	TrialAllowed    bool           // result of BeginTrial
+	TrialCrashes    int            // known crashes of its subject
 	Error           *outcome.Error // set if the command was rejected
 }
 
@@ -161,6 +175,9 @@
 		return Result{VerdictsChanged: m.recordRuns(index, c.Runs)}
 	case c.Expire != nil:
 		return Result{VerdictsChanged: m.verdicts.Expire(index, c.Expire.AtMS)}
+	case c.Trial != nil:
+		allowed, crashes := m.verdicts.BeginTrial(c.Trial.Ref, c.Trial.Trial, c.Trial.AtOnce, c.Trial.AtMS)
+		return Result{TrialAllowed: allowed, TrialCrashes: crashes}
 	}
 	next := *m.state
 	result := next.execute(c)
--- a/core/outcome/codes.go
+++ b/core/outcome/codes.go
@@ -32,6 +32,7 @@
 	BadTargetResponse   Code = 311
 	Preempted           Code = 312
 	TargetCrashed       Code = 313
+	SuspectHeld         Code = 314
 	JobNotFound         Code = 400
 	FileNotFound        Code = 401
 	BadBatchLine        Code = 402
--- a/core/quarantine/runs.go
+++ b/core/quarantine/runs.go
@@ -29,6 +29,7 @@
 	// are one piece of evidence, not several.
 	KnownCrashes int       `msgpack:"k"`
 	Parts        []RunPart `msgpack:"p,omitempty"` // what it shares with other requests, as far as suspected
+	Trial        bool      `msgpack:"t,omitempty"` // see Trial
 }
 
 // RunPart is something that a run shares with runs of other requests: a part of its
@@ -143,6 +144,9 @@
 	if crash.MostCrashes > 1 && crash.MostCrashes > count {
 		return false // another subject that ran there explains the crash
 	}
+	if run.Trial {
+		record.TrialCrashes++
+	}
 	q.count(index, crash, run.Ref, record, count)
 	return true
 }
@@ -168,6 +172,9 @@
 			record.Contents = append(slices.Clone(record.Contents), run.Digest)
 			record.Contents = record.Contents[max(0, len(record.Contents)-maxRecordCrashes):]
 		}
+		if run.Trial && ref.Kind == Variants {
+			record.TrialCrashes++
+		}
 		if ref.Kind == PromptPart {
 			record.Verdict.With = companions(&record, found, run, part.Digest)
 		}
@@ -202,7 +209,8 @@
 	}
 	level := max(record.Verdict.Level, Suspect)
 	convictable := ref.Kind != Variants || len(record.Contents) >= minVariants
-	if convictable && (count >= maxBurstCrashes || count >= maxSuspectCrashes && !q.inBurst(&record, crash.AtMS)) {
+	excused := record.TrialCrashes < maxTrialCrashes && q.inBurst(&record, crash.AtMS)
+	if convictable && (count >= maxBurstCrashes || count >= maxSuspectCrashes && !excused) {
 		level = Quarantined
 	}
 	q.records[ref] = record
--- a/core/quarantine/runs_test.go
+++ b/core/quarantine/runs_test.go
@@ -387,3 +387,56 @@
 	crash(table, 4, 1)
 	assert.Equal(t, Suspect, table.records[all].Verdict.Level)
 }
+
+// Incident BUDGET: copies of a request that ended several targets in one round run one
+// at a time from then on.
+func TestSuspectRunsAreTrialsOneAtATime(t *testing.T) {
+	table := newRunTable()
+	for n := range 3 {
+		table.index++
+		table.RecordRuns(table.index, Crash{Target: fmt.Sprint("t", n+1), Incarnation: 1}, []Run{{Ref: ref(1)}}, 0)
+	}
+	assert.Equal(t, Verdict{Workspace: "w", Digest: ref(1).Digest, Level: Suspect, Crashes: 1, Targets: 3, Revision: table.records[ref(1)].Verdict.Revision},
+		table.records[ref(1)].Verdict)
+	begin := func(holder string, nowMS int64) bool {
+		allowed, _ := table.BeginTrial(ref(1), Trial{Holder: holder, UntilMS: nowMS + 1000}, 1, nowMS)
+		return allowed
+	}
+	assert.True(t, begin("a", 0))
+	assert.True(t, begin("a", 1), "the same attempt asks again")
+	assert.False(t, begin("b", 1))
+	assert.True(t, begin("b", 1001), "a trial ends without a report")
+	table.crash(ref(1))
+	assert.True(t, begin("c", 1002), "a crash ends it")
+	table.crash(ref(1))
+	assert.False(t, begin("d", 5000), "quarantined")
+	assert.True(t, table.HasCrashed("t5", 1))
+	allowed, crashes := table.BeginTrial(ref(2), Trial{Holder: "e"}, 1, 0)
+	assert.True(t, allowed)
+	assert.Zero(t, crashes)
+}
+
+// A burst of other crashes does not excuse a request that crashed targets in trials,
+// and trials leave most targets to sound requests.
+func TestTrialsConvictDuringBurstOfCrashes(t *testing.T) {
+	for _, trial := range []bool{false, true} {
+		table := newRunTable()
+		for n := range 3 {
+			table.crash(ref(byte(10 + n)))
+			table.index++
+			run := Run{Ref: ref(1), KnownCrashes: n, Trial: trial && n > 0}
+			table.RecordRuns(table.index, Crash{Target: fmt.Sprint("x", n), Incarnation: 1}, []Run{run}, 0)
+		}
+		assert.Equal(t, trial, table.level(ref(1)) == Quarantined)
+	}
+	assert.Equal(t, []int{1, 1, 1, 15}, []int{TrialsAtOnce(1), TrialsAtOnce(3), TrialsAtOnce(7), TrialsAtOnce(60)})
+	table := newRunTable()
+	table.crash(ref(1))
+	table.crash(ref(2))
+	for n := range 2 {
+		allowed, _ := table.BeginTrial(ref(byte(n+1)), Trial{Holder: fmt.Sprint(n), Service: "s", UntilMS: 10}, 1, 0)
+		assert.Equal(t, n == 0, allowed)
+	}
+	allowed, _ := table.BeginTrial(ref(2), Trial{Holder: "b", Service: "other", UntilMS: 10}, 1, 0)
+	assert.True(t, allowed)
+}
--- /dev/null
+++ b/core/quarantine/trial.go
@@ -0,0 +1,64 @@
+package quarantine
+
+import "slices"
+
+// TrialTargets is the number of targets that must have crashed under a subject before
+// each run of it is a trial, also a retry within one attempt of its caller. A request
+// that crashes targets then ends one at a time, however many copies of it are sent
+// together.
+const TrialTargets = 2
+
+const (
+	// trialShare is the number of targets of a service for each trial at a time.
+	trialShare = 4
+	// maxTrialCrashes is the number of crashes in trials from which on a burst of
+	// crashes elsewhere does not excuse a request.
+	maxTrialCrashes = 2
+)
+
+// Trial is the run of a suspect that is allowed while no other run of it is: its
+// outcome is evidence by itself. Times are in milliseconds since 1970.
+type Trial struct {
+	Holder  string `msgpack:"h"` // attempt that runs
+	Service string `msgpack:"s"` // whose targets it may crash
+	UntilMS int64  `msgpack:"u"` // the trial has ended by then, also without a report
+}
+
+// BeginTrial allows a run of a suspect, and returns how many of its crashes are known.
+// It does not while another run of it is on trial, or atOnce trials of the service are
+// under way, or if the subject is quarantined. A subject that is not suspected may run.
+func (q *Verdicts) BeginTrial(ref Ref, trial Trial, atOnce int, nowMS int64) (allowed bool, crashes int) {
+	record, found := q.records[ref]
+	if !found {
+		return true, 0
+	}
+	crashes = record.Verdict.Crashes
+	taken := record.Trial.UntilMS > nowMS && record.Trial.Holder != trial.Holder
+	if record.Verdict.Level == Quarantined || taken || q.otherTrials(ref, trial.Service, nowMS) >= atOnce {
+		return false, crashes
+	}
+	record.Trial = trial
+	q.records[ref] = record
+	return true, crashes
+}
+
+// otherTrials returns the number of trials under way at a service, except that of one
+// subject.
+func (q *Verdicts) otherTrials(except Ref, service string, nowMS int64) int {
+	count := 0
+	for ref, record := range q.records {
+		if ref != except && record.Trial.Service == service && record.Trial.UntilMS > nowMS {
+			count++
+		}
+	}
+	return count
+}
+
+// TrialsAtOnce returns how many trials may be under way at a service with the given
+// number of targets that are up, so that suspects leave most of them to sound requests.
+func TrialsAtOnce(targetsUp int) int { return max(1, targetsUp/trialShare) }
+
+// HasCrashed reports whether a process of a target is known to have crashed.
+func (q *Verdicts) HasCrashed(target string, incarnation uint64) bool {
+	return slices.ContainsFunc(q.runCrashes, func(c runCrash) bool { return c.Crash == Crash{Target: target, Incarnation: incarnation} })
+}
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -78,7 +78,8 @@
 	Kind      Kind      `msgpack:"k,omitempty" json:"kind,omitempty"`
 	Level     Suspicion `msgpack:"l" json:"level"`
 	Crashes   int       `msgpack:"c" json:"crashes"`
-	Revision  uint64    `msgpack:"r" json:"revision"` // log index of the last change
+	Revision  uint64    `msgpack:"r" json:"revision"`                    // log index of the last change
+	Targets   int       `msgpack:"t,omitempty" json:"targets,omitempty"` // that crashed under it, of RecordRuns only
 	// With lists the other prompt parts that stood in each request counted here.
 	// Any one of them may be the cause instead.
 	With []Digest `msgpack:"s,omitempty" json:"with,omitempty"`
--- a/core/quarantine/verdicts.go
+++ b/core/quarantine/verdicts.go
@@ -34,6 +34,9 @@
 	Crashes     []Crash `msgpack:"n,omitempty"` // the newest crashes at which it ran, of RecordRuns only
 	// Contents are the requests counted in the verdict on a prompt part or on variants.
 	Contents []Digest `msgpack:"o,omitempty"`
+	Trial    Trial    `msgpack:"t,omitempty"`
+	// TrialCrashes is the number of crashes in trials of the subject.
+	TrialCrashes int `msgpack:"u,omitempty"`
 }
 
 // Verdicts is the replicated table of verdicts. It infers from crash reports
@@ -212,7 +215,8 @@
 func (q *Verdicts) set(index uint64, key Ref, level Suspicion, crashes int, crashIndex uint64, atMS int64) {
 	record := q.records[key]
 	record.Verdict = Verdict{Workspace: key.Workspace, Digest: key.Digest, Kind: key.Kind, Level: level, Crashes: crashes, Revision: index,
-		With: record.Verdict.With}
+		Targets: len(record.Crashes), With: record.Verdict.With}
+	record.Trial = Trial{} // a crash ends it
 	record.CrashIndex = crashIndex
 	record.LastCrashMS = atMS
 	record.Convicted = record.Convicted || level == Quarantined
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -15,6 +15,7 @@
 	MethodFollow     wire.Method = 100 // stream: FollowPing -> FollowPush
 	MethodPropose    wire.Method = 101 // unary: Proposal -> ProposalResponse, served by the leader of a group
 	MethodReportRuns wire.Method = 102 // unary: RunsReport -> Ack, served by any control host
+	MethodBeginTrial wire.Method = 104 // unary: TrialRequest -> TrialGrant, served by any control host
 
 	MethodJobSubmit  wire.Method = 110 // unary: jobs.Spec -> Ack
 	MethodJobRead    wire.Method = 111 // unary: JobRead -> JobResults
@@ -144,6 +145,20 @@
 	Completed []quarantine.Ref      `msgpack:"d,omitempty"` // suspects that ran to a complete response
 }
 
+// TrialRequest asks for the only run of a suspect. See quarantine.Trial.
+type TrialRequest struct {
+	Ref         quarantine.Ref `msgpack:"r"`
+	Holder      string         `msgpack:"h"` // id of the attempt that is to run
+	Service     string         `msgpack:"s"` // whose targets it may crash
+	RemainingMS int64          `msgpack:"l"` // time until the attempt's deadline, milliseconds
+}
+
+// TrialGrant is the response to TrialRequest.
+type TrialGrant struct {
+	Allowed bool `msgpack:"a"`
+	Crashes int  `msgpack:"c"` // of the subject that are known
+}
+
 // Proposal is an encoded command for the leader of a group.
 type Proposal struct {
 	Group   uint32 `msgpack:"g"`
--- a/services/crashreport/reporter.go
+++ b/services/crashreport/reporter.go
@@ -25,6 +25,7 @@
 	reportBatchDelay    = 5 * time.Millisecond
 	reportTimeout       = 600 * time.Millisecond // of one call of a control host
 	reportRetryInterval = 50 * time.Millisecond
+	trialTimeout        = 400 * time.Millisecond // of a question whether a suspect may run
 	// reportExpiry is how long a report is retried.
 	reportExpiry = 30 * time.Second
 )
@@ -129,6 +130,21 @@
 	}
 }
 
+// BeginTrial asks control whether a suspect may run now. An error means that no control
+// host answered within trialTimeout.
+func (r *Reporter) BeginTrial(ctx context.Context, request *rpc.TrialRequest) (*rpc.TrialGrant, error) {
+	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
+	defer cancel()
+	err := error(outcome.New(outcome.Unreachable, outcome.NotRun, "no control host is known"))
+	for _, host := range r.follower.ControlHosts() {
+		var grant rpc.TrialGrant
+		if err = r.pool.Call(ctx, host, rpc.MethodBeginTrial, request, &grant); err == nil {
+			return &grant, nil
+		}
+	}
+	return nil, err
+}
+
 func (r *Reporter) sendOnce(ctx context.Context, report *rpc.RunsReport) error {
 	err := error(outcome.New(outcome.Unreachable, outcome.NotRun, "no control host is known"))
 	for _, host := range r.follower.ControlHosts() {
--- a/services/director/director.go
+++ b/services/director/director.go
@@ -132,6 +132,7 @@
 	s.wire.Handle(rpc.MethodFollow, s.serveFollower)
 	wire.HandleUnary(s.wire, rpc.MethodSiteStatus, s.siteStatus)
 	wire.HandleUnary(s.wire, rpc.MethodReportRuns, s.reportRuns)
+	wire.HandleUnary(s.wire, rpc.MethodBeginTrial, s.beginTrial)
 	return s, nil
 }
 
@@ -257,14 +258,20 @@
 func (s *Server) execute(ctx context.Context, c catalog.Command) error {
 	bounded, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	result, err := s.group.Execute(bounded, c)
+	_, err := s.executeResult(bounded, c)
+	return err
+}
+
+// executeResult executes a command and returns its result, which holds no error.
+func (s *Server) executeResult(ctx context.Context, c catalog.Command) (*catalog.Result, error) {
+	result, err := s.group.Execute(ctx, c)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if result.Error != nil {
-		return result.Error
+		return nil, result.Error
 	}
-	return nil
+	return result, nil
 }
 
 // Document returns the current version and the body it was put with. It fails if
--- a/services/director/state.go
+++ b/services/director/state.go
@@ -103,6 +103,13 @@
 	return &update
 }
 
+// hasCrashed reports whether a process of a target is known to have crashed.
+func (c *catalogState) hasCrashed(target string, incarnation int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Verdicts().HasCrashed(target, uint64(incarnation))
+}
+
 // hasExpiredVerdicts reports whether the times to live of verdicts call for a
 // command.
 func (c *catalogState) hasExpiredVerdicts(nowMS int64) bool {
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -59,6 +59,7 @@
 	subjects     *subjects        // nil: not computed yet
 	parts        []quarantine.Ref // nil: not computed yet
 	known        assessment       // when the request was sent to target
+	trialCrashes int              // crashes known when the trial of this request began; 0: it is none
 	response     *targetcall.Response
 }
 
@@ -207,6 +208,9 @@
 		if failure := f.checkSuspicion(); failure != nil {
 			return failure
 		}
+		if failure := f.beginTrial(); failure != nil {
+			return failure
+		}
 		if failure := f.acquireTarget(); failure != nil {
 			return failure
 		}
@@ -317,7 +321,7 @@
 	target := f.target
 	f.releaseTarget()
 	if failure.Closed && failure.Outcome != outcome.NotRun && f.ctx.Err() == nil {
-		run := f.known.run(f.identify(), s.suspects.innocent.has)
+		run := f.known.run(f.identify(), f.trialCrashes, s.suspects.innocent.has)
 		s.crashes.connectionClosed(f.ctx, &brokenRun{request: f.call.id, parts: f.call.parts, run: run, target: target, at: time.Now()})
 	}
 }
--- a/services/entry/suspects.go
+++ b/services/entry/suspects.go
@@ -10,6 +10,7 @@
 
 	"banyanwalk/core/catalog"
 	"banyanwalk/core/quarantine"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/crashreport"
 	"banyanwalk/services/follow"
@@ -41,6 +42,7 @@
 type suspicion struct {
 	level   quarantine.Suspicion
 	crashes int
+	targets int                 // that crashed under it
 	with    []quarantine.Digest // as in quarantine.Verdict
 	source  string              // whose evidence decides: "site" or "gateway"
 	age     time.Duration       // of that evidence
@@ -69,7 +71,7 @@
 func (s *suspects) lookup(ref quarantine.Ref) suspicion {
 	now := time.Now()
 	site, known := s.follower.Verdict(ref)
-	found := suspicion{level: site.Level, crashes: site.Crashes, with: site.With, source: "site", age: now.Sub(site.ReceivedAt)}
+	found := suspicion{level: site.Level, crashes: site.Crashes, targets: site.Targets, with: site.With, source: "site", age: now.Sub(site.ReceivedAt)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	record, suspected := s.local.Lookup(ref)
@@ -80,13 +82,29 @@
 	if now.Sub(lastCrash) > localRetention || known && site.Level == quarantine.Cleared && site.ReceivedAt.After(lastCrash) {
 		return found
 	}
+	found.targets = max(site.Targets, record.Verdict.Targets)
 	if site.Crashes >= record.Verdict.Crashes {
 		return found
 	}
-	return suspicion{level: max(found.level, record.Verdict.Level), crashes: record.Verdict.Crashes, with: record.Verdict.With,
+	return suspicion{level: max(found.level, record.Verdict.Level), crashes: record.Verdict.Crashes, targets: found.targets, with: record.Verdict.With,
 		source: "gateway", age: now.Sub(lastCrash)}
 }
 
+// beginTrial decides about a trial among the runs of this gateway, while control does
+// not answer.
+func (s *suspects) beginTrial(r *rpc.TrialRequest) *rpc.TrialGrant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.index++
+	nowMS := time.Since(s.started).Milliseconds()
+	if site, known := s.follower.Verdict(r.Ref); known && site.Level > quarantine.Cleared {
+		s.local.Adopt(s.index, site.Verdict, nowMS)
+	}
+	allowed, crashes := s.local.BeginTrial(r.Ref, quarantine.Trial{Holder: r.Holder, Service: r.Service, UntilMS: nowMS + r.RemainingMS}, 1, nowMS)
+	s.localCount.Store(int64(s.local.Len()))
+	return &rpc.TrialGrant{Allowed: allowed, Crashes: crashes}
+}
+
 // crashed records that a run ended with the crash of its target, and reports it to
 // the site.
 func (s *suspects) crashed(b *brokenRun, evidence string) {
--- a/services/entry/suspicion.go
+++ b/services/entry/suspicion.go
@@ -8,6 +8,7 @@
 	"banyanwalk/core/auth"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/quarantine"
+	"banyanwalk/infra/rpc"
 )
 
 // probableCrashes is the number of crashes from which on something that requests
@@ -15,6 +16,16 @@
 // a failure.
 const probableCrashes = 2
 
+const (
+	// trialRetryAfter is the Retry-After of a suspect that may not run now.
+	trialRetryAfter = 300 * time.Millisecond
+	// maxInnocentBody bounds the bodies, in bytes, that are digested at each complete
+	// response.
+	maxInnocentBody = 64 << 10
+	// maxTrial is how long a trial without a result keeps other runs back.
+	maxTrial = 3 * time.Second
+)
+
 // subjects identifies what a request may be suspected for.
 type subjects struct {
 	content quarantine.Ref
@@ -73,9 +84,10 @@
 }
 
 // run returns the run that a crash of the target is recorded with, without what is
-// innocent.
-func (a *assessment) run(s *subjects, innocent func(part quarantine.Ref) bool) quarantine.Run {
-	run := quarantine.Run{Ref: s.content, KnownCrashes: a.content.crashes}
+// innocent. trialCrashes is the number of crashes that were known when its trial began,
+// or 0.
+func (a *assessment) run(s *subjects, trialCrashes int, innocent func(part quarantine.Ref) bool) quarantine.Run {
+	run := quarantine.Run{Ref: s.content, KnownCrashes: max(trialCrashes, a.content.crashes), Trial: trialCrashes > 0}
 	for i, ref := range s.parts {
 		if innocent(ref) {
 			continue
@@ -84,6 +96,9 @@
 		if i < len(a.parts) {
 			part.KnownCrashes = a.parts[i].crashes
 		}
+		if ref.Kind == quarantine.Variants {
+			part.KnownCrashes = max(trialCrashes, part.KnownCrashes)
+		}
 		run.Parts = append(run.Parts, part)
 	}
 	return run
@@ -138,11 +153,61 @@
 	}
 }
 
+// trialSubject returns the subject whose next run must be a trial, if any. Prompt parts
+// are left out: sound requests have them too. So is the first retry after a crash, as
+// most requests that were at a crashed target are sound, and content that completed
+// lately.
+func (f *forwarding) trialSubject() (ref quarantine.Ref, needed bool) {
+	minTargets := quarantine.TrialTargets
+	if f.executions == 0 {
+		minTargets = 1
+	}
+	of, known := f.identify(), &f.known
+	if known.content.targets >= minTargets && !f.server.suspects.innocent.has(of.content) {
+		return of.content, true
+	}
+	for i, part := range known.parts {
+		if of.parts[i].Kind == quarantine.Variants && part.targets >= minTargets {
+			return of.parts[i], true
+		}
+	}
+	return quarantine.Ref{}, false
+}
+
+// beginTrial asks control for the only run of a request under which several targets
+// have crashed, and returns the failure if it may not run now.
+func (f *forwarding) beginTrial() *outcome.Error {
+	if f.known.deciding.crashes == 0 {
+		return nil
+	}
+	f.trialCrashes = 0
+	subject, needed := f.trialSubject()
+	if !needed {
+		return nil
+	}
+	lasts := min(maxTrial, time.Until(f.call.deadline))
+	request := &rpc.TrialRequest{Ref: subject, Holder: f.call.id, Service: f.service, RemainingMS: lasts.Milliseconds()}
+	grant, err := f.server.reporter.BeginTrial(f.ctx, request)
+	if err != nil {
+		grant = f.server.suspects.beginTrial(request)
+		f.server.log.Warn("trial_decided_locally", "request", f.call.id, "digest", subject.Digest.String(), "allowed", grant.Allowed, "error", err)
+	}
+	if !grant.Allowed {
+		return outcome.New(outcome.SuspectHeld, f.outcomeSoFar(),
+			"this request may crash targets: another run of it is on trial, or too few targets are up").WithRetryAfter(trialRetryAfter)
+	}
+	f.trialCrashes = grant.Crashes
+	return nil
+}
+
 // noteCompleted records a complete response, which clears what is suspected of the
 // request and of what it shares with others.
 func (f *forwarding) noteCompleted() {
 	s := f.server.suspects
 	s.innocent.add(f.call.started, f.shared())
+	if len(f.request.Body) <= maxInnocentBody {
+		s.innocent.add(f.call.started, []quarantine.Ref{f.identify().content})
+	}
 	if s.empty() {
 		return
 	}
--- a/tests/site/crashing_rounds_test.go
+++ b/tests/site/crashing_rounds_test.go
@@ -159,9 +159,35 @@
 		for j, copies := range []int{6, 12} {
 			t.Run(fmt.Sprintf("%d-%s", copies, down), func(t *testing.T) {
 				t.Parallel()
-				rounds := crashRounds{kind: "card", copies: copies, pause: down + time.Second, down: down, path: sameQuery, lasting: 20 * time.Second}
+				rounds := crashRounds{kind: "card", copies: copies, pause: down + time.Second, down: down, path: sameQuery, lasting: 16 * time.Second}
 				rounds.check(t, 133+2*i+j, smallService)
 			})
 		}
 	}
 }
+
+// Incident BUDGET: services of one and of many targets, and several crashing requests
+// in turn, each of them many copies at once.
+func TestRoundsOfSeveralCrashingRequests(t *testing.T) {
+	contents := func(count int) func(n int) string {
+		return func(n int) string { return fmt.Sprint("ends the target, content ", n%count) }
+	}
+	for i, c := range []struct {
+		name            string
+		targets, copies int
+		body            func(n int) string
+		kind            string
+	}{
+		{"one target", 1, 6, contents(1), "card"},
+		{"sixty targets", 60, 12, contents(1), "ask"},
+		{"four contents at three targets", smallService, 12, contents(4), "card"},
+		{"one run a request", smallService, 12, contents(1), "once"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			rounds := crashRounds{kind: c.kind, copies: c.copies, pause: 3500 * time.Millisecond, down: 2500 * time.Millisecond, path: sameQuery,
+				lasting: 18 * time.Second, body: c.body}
+			rounds.check(t, 137+i, c.targets)
+		})
+	}
+}
