--- a/tests/site/harness.go
+++ b/tests/site/harness.go
@@ -43,6 +43,9 @@
 	Store   = "store"
 )
 
+// defaultVersion is the software version of targets whose version does not matter.
+const defaultVersion = "v1"
+
 // PlainService is the name of a service whose targets are no model engines.
 const PlainService = "app"
 
@@ -67,6 +70,7 @@
 	addr        string // reported address: the target's own or that of a proxy in front of it
 	service     string
 	zone        string
+	version     string // of its software
 	startMillis int64
 	stop        context.CancelFunc
 	wg          conc.WaitGroup
@@ -139,14 +143,21 @@
 // they report, which may be that of a proxy in front of the target. Close stops
 // the target.
 func (s *Site) AddTarget(t *standin.Target, addr, service string, slots int) {
-	s.addTarget(t, addr, service, slots)
+	s.addTarget(t, addr, service, slots, defaultVersion)
+}
+
+// AddVersionedTarget is AddTarget with the version of the target's software. leave
+// ends the heartbeats and the target.
+func (s *Site) AddVersionedTarget(t *standin.Target, service string, slots int, version string) (leave func()) {
+	return s.addTarget(t, t.Addr, service, slots, version).close
 }
 
-func (s *Site) addTarget(t *standin.Target, addr, service string, slots int) *targetReporter {
+func (s *Site) addTarget(t *standin.Target, addr, service string, slots int, version string) *targetReporter {
 	t.NameInHealth(platform.HealthHeaders().Target)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.mu.Lock()
 	reporter := &targetReporter{target: t, addr: addr, service: service, zone: s.zones[len(s.targets)%len(s.zones)],
+		version: version,
 		startMillis: time.Now().UnixMilli(), stop: cancel}
 	s.targets = append(s.targets, reporter)
 	s.mu.Unlock()
@@ -158,7 +169,7 @@
 func (s *Site) sendHeartbeats(ctx context.Context, reporter *targetReporter, slots int) {
 	for sequence := 1; ctx.Err() == nil; sequence++ {
 		body, err := json.Marshal(map[string]any{
-			"service": reporter.service, "address": reporter.addr, "zone": reporter.zone, "version": "v1", "slots": slots, "state": "ready",
+			"service": reporter.service, "address": reporter.addr, "zone": reporter.zone, "version": reporter.version, "slots": slots, "state": "ready",
 			"warmup_left_ms": 0, "sequence": sequence, "born": reporter.startMillis,
 		})
 		if err != nil {
--- a/tests/site/restarts.go
+++ b/tests/site/restarts.go
@@ -67,7 +67,7 @@
 		r.all = append(r.all, target)
 		r.latest[number] = target
 		r.mu.Unlock()
-		reporter := r.site.addTarget(target, addr, r.service, r.slots)
+		reporter := r.site.addTarget(target, addr, r.service, r.slots, defaultVersion)
 		select {
 		case <-ctx.Done():
 			return
