Streams go on only at the software version that began them

What callers saw: streams that broke off went on with events of another version of the back end, within one answer and when callers took them up again. Cause: the version of a target was known and nothing read it; nothing read Resumes. Ruled out: a memory lost with gateways, as it happens without a kill. Change: the first event binds an answer to its target's service and version. The broker of slots, which places each stream, notes where it began (core/streams): in memory, which outlives all gateways, and for services that have had several versions in the job group's log, which outlives the broker. A gateway that takes a stream up asks its own table, then the broker; without an answer it refuses (315), never guesses. Items of jobs keep the version with their progress and start again when it has left.

--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -1,12 +1,14 @@
 // Package jobs implements the replicated state machine for jobs that clients
 // submit directly, without an input file. A job is accepted once, each result
 // gets a position that never changes, and an item stays open until it is
-// completed, abandoned or its job is ended. The machine is deterministic: it
-// reads no clock and knows nothing about targets.
+// completed, abandoned or its job is ended. The machine also keeps where callers'
+// streams began. It is deterministic: it reads no clock and knows nothing about
+// targets.
 package jobs
 
 import (
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/streams"
 )
 
 // Header is one HTTP header of an item's request.
@@ -73,6 +75,8 @@
 type Partial struct {
 	Text string `msgpack:"t"`
 	Last int64  `msgpack:"l"` // id of the last event in Text
+	// Origin is where the text began. It goes on only there.
+	Origin streams.Origin `msgpack:"o,omitempty"`
 }
 
 // Open reports whether an item still needs a result.
@@ -113,6 +117,8 @@
 	Save   []Progress `msgpack:"p,omitempty"`
 	End    *EndJob    `msgpack:"e,omitempty"`
 	Drop   []string   `msgpack:"d,omitempty"` // ids of jobs to delete
+
+	Streams *streams.Update `msgpack:"o,omitempty"` // streams of callers that have begun
 }
 
 // ItemRef identifies an item by its job and its index in the job.
@@ -131,9 +137,10 @@
 // Progress is the output that an item has produced since event From.
 type Progress struct {
 	ItemRef
-	From int64  `msgpack:"a"` // id of the event just before Text; 0: Text is the start
-	Last int64  `msgpack:"l"` // id of the last event in Text
-	Text string `msgpack:"t"` // starts with a line feed, unless From is 0
+	From   int64          `msgpack:"a"` // id of the event just before Text; 0: Text is the start
+	Last   int64          `msgpack:"l"` // id of the last event in Text
+	Text   string         `msgpack:"t"` // starts with a line feed, unless From is 0
+	Origin streams.Origin `msgpack:"o,omitempty"`
 }
 
 // EndJob ends a job at the request of its workspace.
--- a/core/jobs/machine.go
+++ b/core/jobs/machine.go
@@ -4,17 +4,24 @@
 	"slices"
 
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/streams"
 )
 
 // Machine is the state machine that applies the commands of the log in order.
 // It is not safe for concurrent use.
 type Machine struct {
-	jobs  map[string]*Job
-	order []*Job // in the order of acceptance
+	jobs    map[string]*Job
+	order   []*Job // in the order of acceptance
+	streams *streams.Table
 }
 
 // NewMachine returns an empty machine.
-func NewMachine() *Machine { return &Machine{jobs: make(map[string]*Job)} }
+func NewMachine() *Machine {
+	return &Machine{jobs: make(map[string]*Job), streams: streams.NewTable()}
+}
+
+// Streams returns where callers' streams began. The caller must not modify it.
+func (m *Machine) Streams() *streams.Table { return m.streams }
 
 // Job returns a job by its id, or nil. The caller must not modify it.
 func (m *Machine) Job(id string) *Job { return m.jobs[id] }
@@ -38,6 +45,8 @@
 		return m.end(c.End)
 	case len(c.Drop) > 0:
 		m.drop(c.Drop)
+	case c.Streams != nil:
+		m.streams.Apply(c.Streams)
 	}
 	return ApplyResult{}
 }
@@ -136,7 +145,8 @@
 }
 
 // save appends progress to the saved output of items. Progress that does not
-// continue the saved output comes from another run of the item and is ignored.
+// continue the saved output comes from another run of the item and is ignored, unless
+// the item began again elsewhere.
 func (m *Machine) save(parts []Progress) {
 	for _, p := range parts {
 		job := m.jobs[p.Job]
@@ -144,13 +154,16 @@
 			continue
 		}
 		kept := job.Partial[p.Item]
-		if kept.Last != p.From {
+		if p.From == 0 && p.Origin != kept.Origin {
+			kept = Partial{}
+		}
+		if kept.Last != p.From || p.From > 0 && kept.Origin != p.Origin {
 			continue
 		}
 		if job.Partial == nil {
 			job.Partial = make(map[int]Partial)
 		}
-		job.Partial[p.Item] = Partial{Text: kept.Text + p.Text, Last: p.Last}
+		job.Partial[p.Item] = Partial{Text: kept.Text + p.Text, Last: p.Last, Origin: p.Origin}
 	}
 }
 
@@ -178,16 +191,20 @@
 
 // Snapshot is the complete state of a Machine.
 type Snapshot struct {
-	Jobs []*Job `msgpack:"j"` // in the order of acceptance
+	Jobs    []*Job           `msgpack:"j"` // in the order of acceptance
+	Streams streams.Snapshot `msgpack:"s"`
 }
 
 // Snapshot returns the complete state. It shares its jobs with the machine.
-func (m *Machine) Snapshot() Snapshot { return Snapshot{Jobs: slices.Clone(m.order)} }
+func (m *Machine) Snapshot() Snapshot {
+	return Snapshot{Jobs: slices.Clone(m.order), Streams: m.streams.Snapshot()}
+}
 
 // Restore returns a machine with the state of a snapshot, whose jobs it shares.
 func Restore(s Snapshot) *Machine {
 	m := NewMachine()
 	m.order = slices.Clone(s.Jobs)
+	m.streams = streams.Restore(s.Streams)
 	for _, job := range s.Jobs {
 		m.jobs[job.ID] = job
 	}
--- a/core/outcome/codes.go
+++ b/core/outcome/codes.go
@@ -33,6 +33,8 @@
 	Preempted           Code = 312
 	TargetCrashed       Code = 313
 	SuspectHeld         Code = 314
+	StreamUnknown       Code = 315
+	VersionGone         Code = 316
 	JobNotFound         Code = 400
 	FileNotFound        Code = 401
 	BadBatchLine        Code = 402
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -15,6 +15,7 @@
 	Batch           bool
 	Spare           int             // slots of a target that a batch item must leave free
 	Exclude         map[string]bool // ids of targets already tried
+	Version         *string         // that the target's software must have; nil: any
 }
 
 // Acquire chooses a target and counts the request there until Release. It
@@ -72,6 +73,9 @@
 		if q.Exclude[r.ID] || t.outOfService(r.DataCentre) || !t.underWarmupLimit(now, r, q) || !t.underRateLimit(now, r, q.Batch) {
 			continue
 		}
+		if q.Version != nil && r.Version != *q.Version {
+			continue
+		}
 		if !includeFailed && t.inBackoff(now, r.ID) {
 			continue
 		}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -4,6 +4,7 @@
 package placement
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -143,3 +144,25 @@
 	r := t.byID[id]
 	return r != nil && r.Incarnation == incarnation && r.State == roster.Ready && !t.outOfService(r.DataCentre)
 }
+
+// HasVersion reports whether a target of a service with a software version takes
+// requests.
+func (t *Targets) HasVersion(service, version string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.services[service], func(r *roster.Record) bool {
+		return r.Version == version && !t.outOfService(r.DataCentre)
+	})
+}
+
+// Versions calls f with the service and software version of each target that takes
+// requests, also several times with the same.
+func (t *Targets) Versions(f func(service, version string)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for service, records := range t.services {
+		for _, r := range records {
+			f(service, r.Version)
+		}
+	}
+}
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -6,6 +6,7 @@
 	"banyanwalk/core/placement"
 	"banyanwalk/core/quarantine"
 	"banyanwalk/core/roster"
+	"banyanwalk/core/streams"
 	"banyanwalk/infra/wire"
 )
 
@@ -26,6 +27,8 @@
 
 	MethodSlotAcquire wire.Method = 120 // unary: SlotRequest -> SlotGrant, served by the broker
 	MethodSlotRelease wire.Method = 121 // unary: SlotRelease -> Ack, served by the broker
+	MethodStreamFind  wire.Method = 122 // unary: StreamFind -> StreamFound, served by the broker
+	MethodStreamBegun wire.Method = 123 // unary: StreamsBegun -> Ack, served by the broker
 )
 
 // The roles of the processes of a site.
@@ -235,12 +238,34 @@
 	Exclude     []string `msgpack:"x,omitempty"`
 	IsRetry     bool     `msgpack:"r,omitempty"` // an earlier attempt of the caller was refused
 	IsSuspect   bool     `msgpack:"u,omitempty"` // the request may crash its target
+
+	Stream  streams.Key `msgpack:"k,omitempty"` // of a stream that its caller may take up again later; else 0
+	Version *string     `msgpack:"v,omitempty"` // software version that the target must have; nil: any
 }
 
 // SlotGrant is the response to SlotRequest and names the target.
 type SlotGrant struct {
-	Target string `msgpack:"t"`
-	Total  int    `msgpack:"n"` // requests at the target, including this one
+	Target  string `msgpack:"t"`
+	Total   int    `msgpack:"n"` // requests at the target, including this one
+	Version string `msgpack:"v"` // of the target's software, as the broker knows it
+}
+
+// StreamFind asks where a stream began that its caller takes up again. Service is the
+// only one that it can be at, or empty.
+type StreamFind struct {
+	Stream  streams.Key `msgpack:"k"`
+	Service string      `msgpack:"s,omitempty"`
+}
+
+// StreamFound is the response to StreamFind.
+type StreamFound struct {
+	Known  bool           `msgpack:"k"`
+	Origin streams.Origin `msgpack:"o"`
+}
+
+// StreamsBegun reports streams whose target the gateway has chosen by itself.
+type StreamsBegun struct {
+	Begun []streams.Group `msgpack:"b"`
 }
 
 // SlotRelease releases slots. Failed lists the IDs of targets that failed a request.
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -87,6 +87,7 @@
 	preemptions  *preemptions
 	slots        *slots
 	suspects     *suspects
+	origins      *streamOrigins
 	crashes      *crashDetector
 	reporter     *crashreport.Reporter
 	bodies       bodyBudget
@@ -108,6 +109,7 @@
 	cfg.Follower.Targets.ShareLimits(cfg.Name)
 	s.preemptions = newPreemptions(s.jobs)
 	s.slots = newSlots(cfg.Follower, s.jobs)
+	s.origins = newStreamOrigins(cfg.Follower, s.jobs)
 	s.reporter = crashreport.New(cfg.Follower, cfg.Log, metrics.GetOrRegisterCounter("entry.crash_reports.dropped", cfg.Metrics))
 	s.suspects = newSuspects(cfg.Follower, s.reporter, cfg.Log, cfg.Metrics)
 	s.crashes = newCrashDetector(cfg.Follower, s.suspects.crashed)
@@ -154,7 +156,7 @@
 	serveEnded := make(chan struct{})
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	for _, task := range []func(context.Context){s.preemptions.run, s.slots.sendReleases, s.crashes.run, s.reporter.Run} {
+	for _, task := range []func(context.Context){s.preemptions.run, s.slots.sendReleases, s.crashes.run, s.reporter.Run, s.origins.run} {
 		p.Go(func() error {
 			task(background)
 			return nil
--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -288,7 +288,10 @@
 	require.NoError(t, err)
 	assert.Equal(t, eventText("r1", 1, 20), body)
 	assert.Equal(t, "text/event-stream", response.Header.Get("Content-Type"))
-	_, body, err = f.send("/resume/1", "r2", "Last-Event-Id", "15")
+	_, body, err = f.send("/resume/1", "begun")
+	require.NoError(t, err)
+	assert.Equal(t, eventText("begun", 1, 20), body)
+	_, body, err = f.send("/resume/1", "r2", "Last-Event-Id", "15", "X-Resumes", "begun")
 	require.NoError(t, err)
 	assert.Equal(t, eventText("r2", 16, 20), body)
 }
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -15,6 +15,7 @@
 	"banyanwalk/core/quarantine"
 	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
+	"banyanwalk/core/streams"
 	"banyanwalk/infra/netpeek"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/services/targetcall"
@@ -43,6 +44,8 @@
 	call         *call
 	request      *targetcall.Request
 	service      string
+	stream       streams.Key // of a stream that its caller may take up again
+	version      *string     // software version that targets must have; nil: any
 	tried        map[string]bool
 	executions   int // targets that may have run the request
 	refusals     int // targets that refused the request without running it
@@ -72,13 +75,20 @@
 		tried:   make(map[string]bool),
 	}
 	f.service = c.route.Pick(fraction(c.id))
+	if c.route.Kind == routing.Stream && c.route.Resumable {
+		f.stream = streams.KeyOf(c.workspaceName(), c.id)
+	}
 	deadlineCtx, cancelDeadline := context.WithDeadline(context.Background(), c.deadline)
 	var cancel context.CancelCauseFunc
 	f.ctx, cancel = context.WithCancelCause(deadlineCtx)
 	f.cancel = func(cause error) { cancel(cause); cancelDeadline() }
 	f.caller = netpeek.RawConn(ctx.Conn())
 	f.stopWatching = netpeek.WatchClosed(ctx.Conn(), callerCheckInterval, func() { f.cancel(errCallerGone) })
-	if failure := f.run(ctx); failure != nil {
+	failure := f.prepare()
+	if failure == nil {
+		failure = f.run(ctx)
+	}
+	if failure != nil {
 		f.finish()
 		if f.executions == 0 && f.refusals == 0 {
 			s.follower.Buckets.Return(c.workspaceName())
@@ -87,6 +97,14 @@
 	}
 }
 
+// prepare finds out where a stream began that the caller takes up again.
+func (f *forwarding) prepare() *outcome.Error {
+	if f.stream == streams.NoKey || f.request.LastEventID == 0 {
+		return nil
+	}
+	return f.takeUp()
+}
+
 // finish releases everything that the request holds.
 func (f *forwarding) finish() {
 	f.stopWatching()
@@ -181,9 +199,9 @@
 	s := f.server
 	elapsed := time.Since(f.call.started)
 	s.metrics.answered(f.call.route.Kind, elapsed, failure == nil)
-	target, status, fill := "", 0, 0
+	target, version, status, fill := "", "", 0, 0
 	if f.target != nil {
-		target, fill = f.target.ID, f.slot.total
+		target, version, fill = f.target.ID, f.target.Version, f.slot.total
 	}
 	if f.response != nil {
 		status = f.response.Status
@@ -195,7 +213,7 @@
 		}
 	}
 	s.log.Info("request_finished", "request", f.call.id, "route", f.call.route.Name, "workspace", f.call.workspaceName(),
-		"document", f.call.table.Version(), "target", target, "status", status, "runs", f.executions, "refused", f.refusals,
+		"document", f.call.table.Version(), "target", target, "version", version, "status", status, "runs", f.executions, "refused", f.refusals,
 		"fill", fill, "sent_ms", ms(f.sentAfter), "first_ms", ms(f.headAfter), "after_ms", ms(elapsed), "error", failure)
 }
 
@@ -267,11 +285,14 @@
 func (f *forwarding) acquireTarget() *outcome.Error {
 	s := f.server
 	service := f.call.table.Service(f.service)
-	query := placement.Query{Service: f.service, Exclude: f.tried}
+	query := placement.Query{Service: f.service, Exclude: f.tried, Version: f.version}
 	if service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
 	}
-	acquired, failure := s.acquireSlot(f.ctx, f.call, service, query, f.known.isolate())
+	if f.version != nil && !s.follower.Targets.HasVersion(f.service, *f.version) {
+		return outcome.New(outcome.VersionGone, f.outcomeSoFar(), "no target of service %s runs version %s", f.service, *f.version).WithRetryAfter(noTargetRetryAfter)
+	}
+	acquired, failure := f.acquireSlot(service, query)
 	f.sentAfter = time.Since(f.call.started)
 	if failure != nil {
 		return failure.WithOutcome(f.outcomeSoFar())
@@ -280,23 +301,30 @@
 		s.preemptions.request(acquired.target.ID)
 	}
 	f.slot, f.target = acquired, acquired.target
+	f.noteBegun()
 	return nil
 }
 
 // acquireSlot acquires a slot for a request. Only model engines are shared with
 // batch items, so requests to other services bypass the broker, unless a target has
 // named a rate limit for all processes together.
-func (s *Server) acquireSlot(ctx context.Context, c *call, service *routing.Service, q placement.Query, suspect bool) (*slot, *outcome.Error) {
-	if (service == nil || service.Slots == 0) && !s.follower.Targets.HasLimits(q.Service) {
+//
+// A stream that goes on has few targets to choose from, so it may wait in a longer
+// queue, as a retry may.
+func (f *forwarding) acquireSlot(service *routing.Service, q placement.Query) (*slot, *outcome.Error) {
+	s := f.server
+	if (service == nil || service.Slots == 0) && f.stream == streams.NoKey && !s.follower.Targets.HasLimits(q.Service) {
 		return s.slots.acquireDirectly(q)
 	}
 	request := &rpc.SlotRequest{
 		DataCentre:  s.cfg.DataCentre,
-		RemainingMS: time.Until(c.deadline).Milliseconds(),
-		IsRetry:     c.isRetry,
-		IsSuspect:   suspect,
+		RemainingMS: time.Until(f.call.deadline).Milliseconds(),
+		IsRetry:     f.call.isRetry || f.version != nil,
+		IsSuspect:   f.known.isolate(),
+		Stream:      f.stream,
+		Version:     f.version,
 	}
-	return s.slots.acquire(ctx, request, q)
+	return s.slots.acquire(f.ctx, request, q)
 }
 
 // outcomeSoFar returns whether any of the targets tried may have run the request.
--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -35,6 +35,7 @@
 	workspace *routing.Workspace // nil on public routes
 	table     *routing.Table
 	parts     []string // ids of the parts of the prompt that other requests may share
+	resumes   string   // id of the attempt that brought the first event of the stream that the caller takes up again
 	isRetry   bool     // the caller has used up part of its time, so it was refused before
 }
 
@@ -101,6 +102,7 @@
 		return c, err
 	}
 	c.deadline = s.deadline(ctx, c)
+	c.resumes = string(ctx.Request.Header.Peek(s.cfg.HeaderNames.Resumes))
 	if s.cfg.PromptParts != nil {
 		c.parts = s.cfg.PromptParts(&ctx.Request.Header)
 	}
--- a/services/entry/slots.go
+++ b/services/entry/slots.go
@@ -50,6 +50,7 @@
 	needsPreemption bool // a batch item must be preempted, and the broker does not know
 	total           int  // requests at the target, including this one
 	brokered        bool
+	version         string           // of the target's software, as the broker knows it
 	broker          rpc.StorageState // state of the granting broker at the time of the grant
 	id              rpc.SlotID
 }
@@ -109,9 +110,15 @@
 		s.queueRelease(granted, "") // the grant may still arrive
 		return nil, nil
 	}
-	if granted.target = s.follower.Targets.Assign(granted.broker.BrokerID(), grant.Target); granted.target == nil {
+	granted.version = grant.Version
+	granted.target = s.follower.Targets.Assign(granted.broker.BrokerID(), grant.Target)
+	switch {
+	case granted.target == nil:
 		s.queueRelease(granted, "")
 		return nil, nil
+	case q.Version != nil && granted.target.Version != *q.Version: // the target has restarted, and the broker does not know
+		s.release(granted, false)
+		return nil, nil
 	}
 	return granted, nil
 }
--- a/services/entry/stream.go
+++ b/services/entry/stream.go
@@ -62,6 +62,7 @@
 		case err == nil:
 			if event.ID > 0 {
 				r.lastID = event.ID
+				r.f.bindVersion()
 			}
 			return event, nil
 		case errors.Is(err, io.EOF):
@@ -77,6 +78,14 @@
 	}
 }
 
+// bindVersion makes the stream stay with the version of the target that has brought an
+// event.
+func (f *forwarding) bindVersion() {
+	if f.version == nil {
+		f.version = &f.target.Version
+	}
+}
+
 // resume continues the stream at another target, or returns the failure that ends
 // it.
 func (r *eventStreamReader) resume(cause error) error {
@@ -96,7 +105,7 @@
 		return errors.Newf("resumed stream was answered with status %d", f.response.Status)
 	}
 	f.server.metrics.resumed.Inc(1)
-	f.server.log.Info("stream_resumed", "request", f.call.id, "target", f.target.ID, "after_event", r.lastID,
+	f.server.log.Info("stream_resumed", "request", f.call.id, "target", f.target.ID, "version", f.target.Version, "after_event", r.lastID,
 		"after_ms", ms(time.Since(f.call.started)))
 	r.events = targetcall.NewEventReader(f.response)
 	return nil
--- a/services/follow/merge.go
+++ b/services/follow/merge.go
@@ -111,7 +111,7 @@
 			continue
 		}
 		changed = true
-		f.cfg.Log.Info("target_seen", "target", report.ID, "addr", report.Addr, "state", report.State.String(),
+		f.cfg.Log.Info("target_seen", "target", report.ID, "addr", report.Addr, "version", report.Version, "state", report.State.String(),
 			"born", report.Incarnation, "sequence", report.Sequence, "age_ms", reports[i].AgeMS, "cold_ms", report.ColdFor.Milliseconds())
 	}
 	if len(reports) > 0 {
--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -12,6 +12,7 @@
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/placement"
 	"banyanwalk/core/roster"
+	"banyanwalk/core/streams"
 	"banyanwalk/infra/rpc"
 )
 
@@ -99,12 +100,15 @@
 	expires := now.Add(time.Duration(r.RemainingMS)*time.Millisecond + grantGrace)
 	b.recordGrant(r.ID, grant{target: target.ID, service: r.Service, since: now, expires: expires, suspect: r.IsSuspect})
 	b.granted.Inc(1)
-	return &rpc.SlotGrant{Target: target.ID, Total: b.targets.TotalLoad(target.ID)}, nil
+	if r.Stream != streams.NoKey {
+		b.server.origins.begun(streams.Group{Origin: streams.Origin{Service: r.Service, Version: target.Version}, Keys: []streams.Key{r.Stream}})
+	}
+	return &rpc.SlotGrant{Target: target.ID, Total: b.targets.TotalLoad(target.ID), Version: target.Version}, nil
 }
 
 // query returns the placement of a request. Only model engines have a bounded queue.
 func (b *broker) query(r *rpc.SlotRequest) placement.Query {
-	query := placement.Query{Service: r.Service, DataCentre: r.DataCentre, Exclude: make(map[string]bool, len(r.Exclude))}
+	query := placement.Query{Service: r.Service, DataCentre: r.DataCentre, Exclude: make(map[string]bool, len(r.Exclude)), Version: r.Version}
 	for _, id := range r.Exclude {
 		query.Exclude[id] = true
 	}
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -72,6 +72,7 @@
 	archiver *archiver
 	broker   *broker
 	reporter *crashreport.Reporter
+	origins  *streamOrigins
 }
 
 // New returns a storage host. Run opens its replica and starts it.
@@ -131,6 +132,7 @@
 	s.reporter = crashreport.New(s.cfg.Follower, s.log, metrics.GetOrRegisterCounter("jobhost.crash_reports.dropped", s.cfg.Metrics))
 	s.runner = newRunner(s, group)
 	s.broker = newBroker(s, s.runner)
+	s.origins = newStreamOrigins(s)
 	group.Register(s.wire)
 	wire.HandleUnary(s.wire, rpc.MethodJobSubmit, s.submit)
 	wire.HandleUnary(s.wire, rpc.MethodJobRead, s.readResults)
@@ -141,13 +143,15 @@
 	wire.HandleUnary(s.wire, rpc.MethodJobsStatus, s.status)
 	wire.HandleUnary(s.wire, rpc.MethodSlotAcquire, s.broker.acquire)
 	wire.HandleUnary(s.wire, rpc.MethodSlotRelease, s.broker.release)
+	wire.HandleUnary(s.wire, rpc.MethodStreamFind, s.origins.find)
+	wire.HandleUnary(s.wire, rpc.MethodStreamBegun, s.origins.report)
 	s.group.Store(group)
 	s.cfg.Follower.ReportNow()
 	p := pool.New().WithErrors().WithFirstError()
 	p.Go(func() error { return group.Serve(ctx, s.wire, l) })
 	p.Go(func() error { return s.runner.run(ctx) })
 	p.Go(func() error { return s.watchMembership(ctx, group) })
-	for _, task := range []func(context.Context){s.archiver.run, s.reporter.Run} {
+	for _, task := range []func(context.Context){s.archiver.run, s.reporter.Run, s.origins.run} {
 		p.Go(func() error {
 			task(ctx)
 			return nil
--- a/services/jobhost/progress.go
+++ b/services/jobhost/progress.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"banyanwalk/core/jobs"
+	"banyanwalk/core/streams"
 	"banyanwalk/services/targetcall"
 )
 
@@ -19,6 +20,9 @@
 	// maxTextBytes bounds the text of one item, also of one that a target sends
 	// without end.
 	maxTextBytes = 1 << 20
+	// versionWait is how long an item waits for a target of the version at which its
+	// text began: one that has crashed is mostly back by then.
+	versionWait = 4 * time.Second
 )
 
 var errTextTooLong = errors.Newf("the text of the item exceeds %d bytes", maxTextBytes)
@@ -31,6 +35,8 @@
 	fruitless int           // runs in a row that yielded no event
 
 	mu         sync.Mutex
+	origin     streams.Origin // where the text began, and may go on; set with the first event
+	versionFor time.Time      // since when no target of that version takes requests; zero: one does
 	text       []byte
 	lastEvent  int64 // id of the last event in text
 	savedEvent int64 // id of the last event that is committed or queued
@@ -39,7 +45,7 @@
 
 // newProgress starts from the progress of an item in the replicated log.
 func newProgress(logged jobs.Partial) *progress {
-	return &progress{text: []byte(logged.Text), lastEvent: logged.Last, savedEvent: logged.Last, savedBytes: len(logged.Text)}
+	return &progress{origin: logged.Origin, text: []byte(logged.Text), lastEvent: logged.Last, savedEvent: logged.Last, savedBytes: len(logged.Text)}
 }
 
 // nextRetryDelay returns the delay after a run that started after the event
@@ -53,10 +59,11 @@
 	return delay
 }
 
-// appendEvent appends the event that follows the last one. It ignores repeated
+// appendEvent appends the event that follows the last one, from a target with the given
+// origin. It ignores repeated
 // events and fails if one is missing. If the text gets too long, it is dropped: what
 // the target has sent is not the output of the item.
-func (p *progress) appendEvent(e *targetcall.Event) error {
+func (p *progress) appendEvent(e *targetcall.Event, from streams.Origin) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e.ID != 0 && e.ID <= p.lastEvent {
@@ -71,12 +78,40 @@
 	}
 	if p.lastEvent > 0 {
 		p.text = append(p.text, '\n')
+	} else {
+		p.origin = from
 	}
 	p.text = append(p.text, e.Data...)
 	p.lastEvent = max(e.ID, p.lastEvent+1)
 	return nil
 }
 
+// begunAt returns where the text began, or false if it has not begun.
+func (p *progress) begunAt() (streams.Origin, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.origin, p.lastEvent > 0
+}
+
+// mayGoOn reports whether a target may take the text on: present tells whether one that
+// it can go on at takes requests. Without one for versionWait, the text starts again.
+func (p *progress) mayGoOn(now time.Time, present bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case present:
+		p.versionFor = time.Time{}
+		return true
+	case p.versionFor.IsZero():
+		p.versionFor = now
+		return false
+	case now.Sub(p.versionFor) < versionWait:
+		return false
+	}
+	p.text, p.lastEvent, p.savedEvent, p.savedBytes, p.versionFor = nil, 0, 0, 0, time.Time{}
+	return true
+}
+
 // lastEventID returns the id of the last event.
 func (p *progress) lastEventID() int64 {
 	p.mu.Lock()
@@ -99,7 +134,7 @@
 	if p.lastEvent == p.savedEvent {
 		return unsaved, false
 	}
-	unsaved = jobs.Progress{ItemRef: ref, From: p.savedEvent, Last: p.lastEvent, Text: string(p.text[p.savedBytes:])}
+	unsaved = jobs.Progress{ItemRef: ref, From: p.savedEvent, Last: p.lastEvent, Text: string(p.text[p.savedBytes:]), Origin: p.origin}
 	p.savedEvent, p.savedBytes = p.lastEvent, len(p.text)
 	return unsaved, true
 }
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -11,6 +11,7 @@
 	"banyanwalk/core/jobs"
 	"banyanwalk/core/quarantine"
 	"banyanwalk/core/roster"
+	"banyanwalk/core/streams"
 	"banyanwalk/services/targetcall"
 )
 
@@ -60,7 +61,7 @@
 	}
 	status, err := i.readResponse(ctx)
 	cause := context.Cause(ctx)
-	r.log.Info("item_ran", "job", i.ref.Job, "item", i.ref.Item, "request", i.request.ID, "target", i.target.ID,
+	r.log.Info("item_ran", "job", i.ref.Job, "item", i.ref.Item, "request", i.request.ID, "target", i.target.ID, "version", i.target.Version,
 		"from_event", from, "to_event", i.progress.lastEventID(), "status", status, "took_ms", time.Since(i.startedAt).Milliseconds(),
 		"error", err, "cause", cause)
 	switch {
@@ -131,6 +132,7 @@
 		return response.Status, errors.Newf("status %d", response.Status)
 	}
 	events := targetcall.NewEventReader(response)
+	origin := streams.Origin{Service: i.target.Service, Version: i.target.Version}
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -140,7 +142,7 @@
 			return 0, err
 		}
 		silenceTimer.Reset(silenceTimeout)
-		if err := i.progress.appendEvent(event); err != nil {
+		if err := i.progress.appendEvent(event, origin); err != nil {
 			return 0, err
 		}
 	}
--- a/services/jobhost/schedule.go
+++ b/services/jobhost/schedule.go
@@ -88,17 +88,19 @@
 	if service := table.Service(serviceName); service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
 	}
+	itemProgress := r.progressOf(ref, item.partial)
+	if !r.bindVersion(now, ref, itemProgress, &query) {
+		return
+	}
 	target, _ := r.follower.Targets.Acquire(now, query)
 	if target == nil {
-		fullServices[serviceName] = true
+		if query.Version == nil {
+			fullServices[serviceName] = true
+		}
 		return
 	}
 	r.trials.started(now, ref, parts)
 	r.mu.Lock()
-	itemProgress := r.paused[ref]
-	if itemProgress == nil {
-		itemProgress = newProgress(item.partial)
-	}
 	delete(r.paused, ref)
 	runCtx, cancel := context.WithCancelCause(ctx)
 	started := &itemRun{runner: r, ref: ref, target: target, parts: parts, progress: itemProgress, startedAt: now, cancel: cancel,
@@ -109,6 +111,42 @@
 	r.wg.Go(func() { started.execute(runCtx) })
 }
 
+// progressOf returns the progress of an item that is not running. It is kept until the
+// item runs.
+func (r *runner) progressOf(ref jobs.ItemRef, logged jobs.Partial) *progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	itemProgress := r.paused[ref]
+	if itemProgress == nil {
+		itemProgress = newProgress(logged)
+		if logged.Last > 0 {
+			r.paused[ref] = itemProgress
+		}
+	}
+	return itemProgress
+}
+
+// bindVersion restricts the targets of an item whose text has begun to those at which
+// it can go on, and reports whether it may run now. If there have been none for long, the
+// text starts again at any target.
+func (r *runner) bindVersion(now time.Time, ref jobs.ItemRef, p *progress, query *placement.Query) bool {
+	origin, begun := p.begunAt()
+	if !begun {
+		return true
+	}
+	present := origin.Service == query.Service && r.follower.Targets.HasVersion(origin.Service, origin.Version)
+	if !p.mayGoOn(now, present) {
+		return false
+	}
+	if present {
+		query.Version = &origin.Version
+		return true
+	}
+	r.log.Info("item_restarted", "job", ref.Job, "item", ref.Item, "service", origin.Service, "version", origin.Version,
+		"reason", "no target of the version takes requests")
+	return true
+}
+
 // targetRequest returns the request that runs an item at a target. It omits
 // hop-by-hop and reserved headers.
 func (r *runner) targetRequest(job *jobs.Job, item *jobs.Item, deadline time.Time) *targetcall.Request {
--- a/services/jobhost/state.go
+++ b/services/jobhost/state.go
@@ -47,7 +47,9 @@
 		delete(s.firstSeen, id)
 	}
 	s.dropped = append(s.dropped, decoded.Drop...)
-	s.notifyChanged()
+	if decoded.Streams == nil {
+		s.notifyChanged()
+	}
 	return response
 }
 
--- a/services/jobhost/unlucky_item_test.go
+++ b/services/jobhost/unlucky_item_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanwalk/core/jobs"
+	"banyanwalk/core/streams"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/services/standin"
 	"banyanwalk/services/targetcall"
@@ -102,12 +103,12 @@
 	var err error
 	for event.ID = 2; err == nil; event.ID++ {
 		require.Less(t, event.ID, int64(10))
-		err = p.appendEvent(event)
+		err = p.appendEvent(event, streams.Origin{})
 	}
 	require.ErrorIs(t, err, errTextTooLong)
 	assert.Zero(t, p.lastEventID())
-	require.NoError(t, p.appendEvent(&targetcall.Event{ID: 1, Data: []byte("one")}))
-	require.NoError(t, p.appendEvent(&targetcall.Event{ID: 2, Data: []byte("two")}))
+	require.NoError(t, p.appendEvent(&targetcall.Event{ID: 1, Data: []byte("one")}, streams.Origin{}))
+	require.NoError(t, p.appendEvent(&targetcall.Event{ID: 2, Data: []byte("two")}, streams.Origin{}))
 	assert.Equal(t, "one\ntwo", p.fullText())
 	unsaved, ok := p.takeUnsaved(jobs.ItemRef{})
 	assert.True(t, ok)
--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -76,7 +76,7 @@
 // of a platform.
 func HeaderNames() targetcall.HeaderNames {
 	return targetcall.HeaderNames{
-		RequestID: "X-Id", Deadline: "X-Deadline", Expect: "X-Expect", Workspace: "X-Workspace", LastEventID: "Last-Event-Id",
+		RequestID: "X-Id", Deadline: "X-Deadline", Expect: "X-Expect", Workspace: "X-Workspace", LastEventID: "Last-Event-Id", Resumes: "X-Resumes",
 		NotRun: "X-Not-Run", Signature: "X-Signature", RateLimit: "X-Rate-Limit", Key: "X-Key",
 	}
 }
--- a/services/targetcall/request.go
+++ b/services/targetcall/request.go
@@ -18,6 +18,7 @@
 	Expect      string // id of the target that the request is addressed to
 	Workspace   string
 	LastEventID string // the stream resumes after this event
+	Resumes     string // id of the attempt that brought the first event of a stream that the caller takes up again
 	NotRun      string // in a response: the target did not run the request
 	Signature   string // in each response that the target itself produced
 	RateLimit   string // in a response: requests per second that the target takes from all processes together
