--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -37,6 +37,7 @@
 	Pause           time.Duration // between two events, before a plain response, and before a crash
 	StrayResponse   bool          // send a response to another request first
 	Crash           bool          // end the target as soon as it runs the request
+	Mark            string        // follows the data of each event
 	CrashInAnswer   bool          // end the target once the response has begun, within its first event or its body
 }
 
@@ -280,7 +281,7 @@
 		if b.HangAfter > 0 && sent == b.HangAfter {
 			<-r.Context().Done()
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(run.ID, n))
+		fmt.Fprintf(w, "id: %d\ndata: %s%s\n\n", n, EventData(run.ID, n), b.Mark)
 		if flush() != nil || !pause.For(r.Context(), b.Pause) {
 			t.mu.Lock()
 			run.CallerClosed = true
--- a/tests/site/harness.go
+++ b/tests/site/harness.go
@@ -148,8 +148,8 @@
 
 // AddVersionedTarget is AddTarget with the version of the target's software. leave
 // ends the heartbeats and the target.
-func (s *Site) AddVersionedTarget(t *standin.Target, service string, slots int, version string) (leave func()) {
-	return s.addTarget(t, t.Addr, service, slots, version).close
+func (s *Site) AddVersionedTarget(t *standin.Target, addr, service string, slots int, version string) (leave func()) {
+	return s.addTarget(t, addr, service, slots, version).close
 }
 
 func (s *Site) addTarget(t *standin.Target, addr, service string, slots int, version string) *targetReporter {
@@ -157,7 +157,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.mu.Lock()
 	reporter := &targetReporter{target: t, addr: addr, service: service, zone: s.zones[len(s.targets)%len(s.zones)],
-		version: version,
+		version:     version,
 		startMillis: time.Now().UnixMilli(), stop: cancel}
 	s.targets = append(s.targets, reporter)
 	s.mu.Unlock()
--- a/tests/site/soak.go
+++ b/tests/site/soak.go
@@ -24,11 +24,16 @@
 	soakEventsPerStream = 15
 	soakEventInterval   = 8 * time.Millisecond // between the events of a stream, and after a failed request of a caller
 	soakCallers         = 4
+	soakTakers          = 3 // callers that leave their streams and take them up again
+	soakTakeUps         = 8 // tries of one of them at a stream
 	soakItemsPerJob     = 6
 	statefulFaultGap    = 7 * time.Second // per role, so that two hosts of one replica group are not down at once
 	recoveryTimeout     = 60 * time.Second
 )
 
+// soakVersions are the software versions of the targets, by turns.
+var soakVersions = []string{"v1", "v1.1"}
+
 // Soak is one run of a site under load with randomized fault injection. It checks
 // invariants during and after the faults; Report lists the violations.
 type Soak struct {
@@ -92,6 +97,9 @@
 	for i := range soakCallers {
 		wg.Go(func() { s.runCaller(loadCtx, i) })
 	}
+	for i := range soakTakers {
+		wg.Go(func() { s.takeStreamsUp(loadCtx, i) })
+	}
 	wg.Go(func() { s.submitJobs(loadCtx) })
 	wg.Go(func() { s.replaceConfigurations(loadCtx) })
 	wg.Go(func() { s.checkConfigurationReads(loadCtx) })
@@ -117,18 +125,19 @@
 		if err != nil {
 			return err
 		}
+		version := soakVersions[i%len(soakVersions)]
 		target.SetBehaviour(func(id string) standin.Behaviour {
 			if strings.HasPrefix(id, "card") || strings.HasPrefix(id, "once") {
 				return standin.Behaviour{Pause: soakEventInterval}
 			}
-			return standin.Behaviour{Events: soakEventsPerStream, Pause: soakEventInterval}
+			return standin.Behaviour{Events: soakEventsPerStream, Pause: soakEventInterval, Mark: versionMark + version}
 		})
 		proxy, err := NewProxy(target.Addr)
 		if err != nil {
 			return err
 		}
 		s.targets, s.proxies = append(s.targets, target), append(s.proxies, proxy)
-		s.site.AddTarget(target, proxy.Addr, "llm", 8)
+		s.site.AddVersionedTarget(target, proxy.Addr, "llm", 8, version)
 	}
 	timeoutCtx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
@@ -185,6 +194,23 @@
 	}
 }
 
+// takeStreamsUp begins streams, leaves each after some events and takes it up again at
+// another gateway, until it is complete. All its events must be of one version.
+func (s *Soak) takeStreamsUp(ctx context.Context, taker int) {
+	gateways := s.site.Role(Gateway)
+	for n := 0; ctx.Err() == nil; n++ {
+		stream := &callerStream{site: s.site, name: fmt.Sprintf("ask-taken-%d-%d", taker, n), events: soakEventsPerStream}
+		stop := 1 + (n+taker)%(soakEventsPerStream-1)
+		_, _ = stream.attempt(ctx, gateways[n%len(gateways)], stop) // a failure is one of the faults
+		if stream.finish(ctx, n+1, soakTakeUps) {
+			s.served.Add(1)
+		}
+		if len(stream.marks) > 1 {
+			s.addViolation("%s: events of versions %v, attempts %v", stream.name, stream.marks, stream.attempts)
+		}
+	}
+}
+
 // submitJobs submits batch jobs, retrying each until it is accepted.
 func (s *Soak) submitJobs(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
--- a/tests/site/soakchecks.go
+++ b/tests/site/soakchecks.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -29,13 +30,30 @@
 		}
 		want = stream.String()
 	}
-	if response.Body != want || response.Signature != standin.Signature(id) {
+	body, versions := withoutMarks(response.Body)
+	if len(versions) > 1 {
+		s.addViolation("%s: events of versions %v", id, versions)
+	}
+	if body != want || response.Signature != standin.Signature(id) {
 		s.addViolation("%s: answered with %q, signed %q", id, response.Body, response.Signature)
 		return
 	}
 	s.served.Add(1)
 }
 
+// withoutMarks removes the versions that follow the data of events, and returns them.
+func withoutMarks(text string) (unmarked string, versions []string) {
+	lines := strings.Split(text, "\n")
+	for i, line := range lines {
+		data, version, marked := strings.Cut(line, versionMark)
+		lines[i] = data
+		if marked && !slices.Contains(versions, version) {
+			versions = append(versions, version)
+		}
+	}
+	return strings.Join(lines, "\n"), versions
+}
+
 // configurationVersion returns the version of a configuration, or 0 if it cannot
 // be decoded.
 func configurationVersion(body []byte) uint64 {
@@ -133,7 +151,11 @@
 		for n := int64(1); n <= soakEventsPerStream; n++ {
 			data = append(data, standin.EventData(r.ID, n))
 		}
-		if seen[r.ID] || r.State != "completed" || r.Text != strings.Join(data, "\n") {
+		text, versions := withoutMarks(r.Text)
+		if len(versions) > 1 {
+			s.addViolation("%s: item %s: events of versions %v", job, r.ID, versions)
+		}
+		if seen[r.ID] || r.State != "completed" || text != strings.Join(data, "\n") {
 			s.addViolation("%s: item %s: listed twice: %t, state %s, text %q", job, r.ID, seen[r.ID], r.State, r.Text)
 		}
 		seen[r.ID] = true
--- a/tests/site/stream_versions_test.go
+++ b/tests/site/stream_versions_test.go
@@ -1,18 +1,13 @@
 package site
 
 import (
-	"bufio"
-	"context"
 	"fmt"
-	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -26,78 +21,9 @@
 	streamPause    = 20 * time.Millisecond
 	versionTargets = 8 // of both versions together
 	streamCount    = 60
-	takeUpPause    = 200 * time.Millisecond // before a caller takes a stream up again
-	takeUps        = 25                     // tries of one caller
+	takeUps        = 25 // tries of one caller
 )
 
-// callerStream is one stream of a caller, who takes it up again after it broke off.
-type callerStream struct {
-	site     *Site
-	name     string
-	attempts []string // request ids, in order
-	first    string   // the attempt that brought the first event
-	last     int64    // id of the last event
-}
-
-// attempt reads events until stop of them have come, the end of the stream, or an
-// error. complete reports that the last event has come.
-func (c *callerStream) attempt(ctx context.Context, gateway *Host, stop int) (complete bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	id := fmt.Sprintf("%s.%d", c.name, len(c.attempts))
-	c.attempts = append(c.attempts, id)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:%d/ask/x", gateway.IP, frontendPort), strings.NewReader(c.name))
-	if err != nil {
-		return false, err
-	}
-	headers := platform.HeaderNames()
-	request.Host = "site.example"
-	request.Header.Set(headers.RequestID, id)
-	request.Header.Set(headers.Key, "k1")
-	request.Header.Set(headers.Deadline, "5000")
-	if c.last > 0 {
-		request.Header.Set(headers.LastEventID, strconv.FormatInt(c.last, 10))
-		request.Header.Set("Resumes", c.first)
-	}
-	response, err := c.site.client.Transport.RoundTrip(request)
-	if err != nil {
-		return false, err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return false, errors.Newf("status %d", response.StatusCode)
-	}
-	lines := bufio.NewScanner(response.Body)
-	for read := 0; lines.Scan(); {
-		event, found := strings.CutPrefix(lines.Text(), "id: ")
-		if !found {
-			continue
-		}
-		if c.last, err = strconv.ParseInt(event, 10, 64); err != nil {
-			return false, err
-		}
-		if c.first == "" {
-			c.first = id
-		}
-		if read++; read == stop {
-			return c.last == streamEvents, nil
-		}
-	}
-	return c.last == streamEvents, lines.Err()
-}
-
-// finish takes the stream up, at one gateway after the other, until it is complete.
-func (c *callerStream) finish(ctx context.Context, number int) bool {
-	gateways := c.site.Role(Gateway)
-	for try := range takeUps {
-		if complete, _ := c.attempt(ctx, gateways[(number+try)%len(gateways)], 0); complete {
-			return true
-		}
-		time.Sleep(takeUpPause)
-	}
-	return false
-}
-
 // versionedSite is a site whose targets run two versions by turns.
 type versionedSite struct {
 	*Site
@@ -115,7 +41,7 @@
 		version := []string{"v1", "v1.1"}[i%2]
 		s.versions[target.ID] = version
 		s.targets = append(s.targets, target)
-		s.leave[version] = append(s.leave[version], s.AddVersionedTarget(target, "llm", 8, version))
+		s.leave[version] = append(s.leave[version], s.AddVersionedTarget(target, target.Addr, "llm", 8, version))
 	}
 	for _, g := range s.Role(Gateway) {
 		awaitServed(t, s.Site, g, "/ask/1", "first")
@@ -155,7 +81,7 @@
 	gateways := s.Role(Gateway)
 	var wg conc.WaitGroup
 	for n := range streamCount {
-		stream := &callerStream{site: s.Site, name: fmt.Sprintf("stream-%d", n)}
+		stream := &callerStream{site: s.Site, name: fmt.Sprintf("stream-%d", n), events: streamEvents}
 		streams = append(streams, stream)
 		wg.Go(func() {
 			_, err := stream.attempt(t.Context(), gateways[n%len(gateways)], stopAfter(n))
@@ -170,7 +96,7 @@
 	var mu sync.Mutex
 	for n, stream := range streams {
 		wg.Go(func() {
-			if stream.last == streamEvents || stream.finish(t.Context(), n+1) {
+			if stream.last == streamEvents || stream.finish(t.Context(), n+1, takeUps) {
 				mu.Lock()
 				defer mu.Unlock()
 				whole++
