--- a/core/jobs/jobs_test.go
+++ b/core/jobs/jobs_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/streams"
 )
 
 func newSpec(id, workspace string, items int) *Spec {
@@ -177,3 +178,22 @@
 	c.Results = slices.Clone(job.Results)
 	return &c
 }
+
+// Progress of a text that began again elsewhere replaces the saved output; what other
+// runs bring is ignored.
+func TestProgressOfTextThatBeganAgain(t *testing.T) {
+	m := NewMachine()
+	m.Apply(Command{Submit: &Spec{ID: "j", Items: make([]Item, 1)}})
+	old, newer := streams.Origin{Service: "s", Version: "v1"}, streams.Origin{Service: "s", Version: "v1.1"}
+	save := func(p Progress) Partial {
+		p.ItemRef = ItemRef{Job: "j"}
+		m.Apply(Command{Save: []Progress{p}})
+		return m.Job("j").Partial[0]
+	}
+	assert.Equal(t, Partial{Text: "a\nb", Last: 2, Origin: old}, save(Progress{Last: 2, Text: "a\nb", Origin: old}))
+	assert.Equal(t, Partial{Text: "a\nb", Last: 2, Origin: old}, save(Progress{From: 2, Last: 3, Text: "\nC", Origin: newer}), "another version goes on")
+	assert.Equal(t, Partial{Text: "A", Last: 1, Origin: newer}, save(Progress{Last: 1, Text: "A", Origin: newer}))
+	assert.Equal(t, Partial{Text: "A\nB", Last: 2, Origin: newer}, save(Progress{From: 1, Last: 2, Text: "\nB", Origin: newer}))
+	restored := Restore(m.Snapshot())
+	assert.Equal(t, m.Job("j").Partial, restored.Job("j").Partial)
+}
--- a/services/entry/entry_test.go
+++ b/services/entry/entry_test.go
@@ -65,6 +65,7 @@
 	addr     string
 	targets  []*standin.Target
 	stop     context.CancelFunc
+	sequence uint64 // of the latest status report of a target
 	serveErr chan error
 }
 
--- a/services/jobhost/jobhost_test.go
+++ b/services/jobhost/jobhost_test.go
@@ -51,6 +51,7 @@
 	targets  []*standin.Target
 	prefix   string
 	revision uint64
+	sequence uint64 // of the latest status report of a target
 }
 
 func newFixture(t *testing.T, behaviours ...standin.Behaviour) *fixture {
--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -85,7 +85,7 @@
 // Report returns the report of a target that is ready.
 func (t *Target) Report(service, dataCentre string, slots int) rpc.TargetReport {
 	return rpc.TargetReport{Report: roster.Report{
-		ID: t.ID, Incarnation: 1, Sequence: 1, Service: service, Addr: t.Addr, DataCentre: dataCentre, Slots: slots, State: roster.Ready,
+		ID: t.ID, Incarnation: 1, Sequence: 1, Service: service, Addr: t.Addr, DataCentre: dataCentre, Version: "v1", Slots: slots, State: roster.Ready,
 	}}
 }
 
