core/quarantine: a trial lasts until its crash can have shown, or ends at once

Cause: a trial ended after 3 s at most, before its result was known, and the next run began in ignorance of it. Change: a trial lasts as long as a crash may show late (10 s beyond the deadline), and a run that showed nothing (refused, not sent, the target lives on) ends it at once.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -55,6 +55,13 @@
 	AtMS      int64            `msgpack:"a"`           // time of the proposer's group clock, milliseconds since 1970
 	Crashes   []CrashReport    `msgpack:"c,omitempty"` // runs that ended with a crash
 	Completed []quarantine.Ref `msgpack:"d,omitempty"` // suspects that ran to a complete response
+	Ended     []EndedTrial     `msgpack:"e,omitempty"` // trials that showed nothing
+}
+
+// EndedTrial names a trial that ended without a crash or a complete response.
+type EndedTrial struct {
+	Ref    quarantine.Ref `msgpack:"r"`
+	Holder string         `msgpack:"h"`
 }
 
 // CrashReport names the runs that ended with one crash.
@@ -195,6 +202,9 @@
 			change = true
 		}
 	}
+	for _, ended := range r.Ended {
+		m.verdicts.EndTrial(ended.Ref, ended.Holder)
+	}
 	// Most suspects complete on their next target, within the same report.
 	return m.verdicts.Complete(index, r.Completed) || change
 }
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -42,6 +42,16 @@
 	return true, crashes
 }
 
+// EndTrial ends the trial of a holder that showed nothing: the run did not begin, or
+// the target lives on.
+func (q *Verdicts) EndTrial(ref Ref, holder string) {
+	record, found := q.records[ref]
+	if found && record.Trial.Holder == holder {
+		record.Trial = Trial{}
+		q.records[ref] = record
+	}
+}
+
 // otherTrials returns the number of trials under way at a service, except that of one
 // subject.
 func (q *Verdicts) otherTrials(except Ref, service string, nowMS int64) int {
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -146,6 +146,7 @@
 	Member    string                `msgpack:"m"` // name of the gateway
 	Crashes   []catalog.CrashReport `msgpack:"c,omitempty"`
 	Completed []quarantine.Ref      `msgpack:"d,omitempty"` // suspects that ran to a complete response
+	Ended     []catalog.EndedTrial  `msgpack:"e,omitempty"` // trials that showed nothing
 }
 
 // TrialRequest asks for the only run of a suspect. See quarantine.Trial.
--- a/services/crashreport/reporter.go
+++ b/services/crashreport/reporter.go
@@ -43,6 +43,7 @@
 type runsReport struct {
 	crash     *catalog.CrashReport
 	completed []quarantine.Ref
+	ended     *catalog.EndedTrial
 }
 
 // New returns a reporter that queues reports until Run. dropped counts the reports
@@ -57,6 +58,9 @@
 // Completed queues a report on suspects that ran to a complete response.
 func (r *Reporter) Completed(refs []quarantine.Ref) { r.add(runsReport{completed: refs}) }
 
+// TrialEnded queues a report on a trial that showed nothing.
+func (r *Reporter) TrialEnded(ended *catalog.EndedTrial) { r.add(runsReport{ended: ended}) }
+
 // add queues a report. It never blocks; if the queue is full, it drops the report
 // and counts it.
 func (r *Reporter) add(report runsReport) {
@@ -97,6 +101,9 @@
 	positions := make(map[quarantine.Crash]int)
 	for {
 		report.Completed = append(report.Completed, next.completed...)
+		if next.ended != nil {
+			report.Ended = append(report.Ended, *next.ended)
+		}
 		if c := next.crash; c != nil {
 			at, found := positions[c.Crash]
 			if !found {
@@ -124,7 +131,7 @@
 			return
 		}
 		if !pause.For(ctx, reportRetryInterval) {
-			r.log.Error("crash_report_failed", "crashes", len(report.Crashes), "completed", len(report.Completed), "error", err)
+			r.log.Error("crash_report_failed", "crashes", len(report.Crashes), "completed", len(report.Completed), "ended", len(report.Ended), "error", err)
 			return
 		}
 	}
--- a/services/director/verdicts.go
+++ b/services/director/verdicts.go
@@ -11,7 +11,7 @@
 // reportRuns logs a gateway's report of requests that may crash targets in the
 // catalog. A repeated report changes nothing.
 func (s *Server) reportRuns(ctx context.Context, r *rpc.RunsReport) (*rpc.Ack, error) {
-	command := catalog.ReportRuns{AtMS: s.state.clock.NowMS(), Crashes: r.Crashes, Completed: r.Completed}
+	command := catalog.ReportRuns{AtMS: s.state.clock.NowMS(), Crashes: r.Crashes, Completed: r.Completed, Ended: r.Ended}
 	err := s.execute(ctx, catalog.Command{Runs: &command})
 	for i := range r.Crashes {
 		s.log.Info("target_crash_reported", "member", r.Member, "target", r.Crashes[i].Crash.Target,
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -54,15 +54,16 @@
 	caller       syscall.RawConn // connection of the caller; nil: unknown
 	checkedAt    time.Time       // when the caller was last known to wait
 	stopWatching func()
-	target       *roster.Record   // target that has the request; nil: none
-	sentAfter    time.Duration    // from the start until the request went to its last target
-	headAfter    time.Duration    // from the start until the response header arrived
-	slot         *slot            // at target; nil: none
-	targetFailed bool             // the target failed or broke the connection
-	subjects     *subjects        // nil: not computed yet
-	parts        []quarantine.Ref // nil: not computed yet
-	known        assessment       // when the request was sent to target
-	trialCrashes int              // crashes known when the trial of this request began; 0: it is none
+	target       *roster.Record    // target that has the request; nil: none
+	sentAfter    time.Duration     // from the start until the request went to its last target
+	headAfter    time.Duration     // from the start until the response header arrived
+	slot         *slot             // at target; nil: none
+	targetFailed bool              // the target failed or broke the connection
+	subjects     *subjects         // nil: not computed yet
+	parts        []quarantine.Ref  // nil: not computed yet
+	known        assessment        // when the request was sent to target
+	trial        *rpc.TrialRequest // under way; nil: none
+	trialCrashes int               // crashes known when the trial of this request began; 0: it is none
 	response     *targetcall.Response
 }
 
@@ -108,6 +109,7 @@
 // finish releases everything that the request holds.
 func (f *forwarding) finish() {
 	f.stopWatching()
+	f.endTrial()
 	f.releaseTarget()
 	f.cancel(nil)
 }
@@ -348,10 +350,14 @@
 		"status", failure.Status, "runs", f.executions, "refused", f.refusals, "after_ms", ms(time.Since(f.call.started)), "reason", failure.Reason)
 	target := f.target
 	f.releaseTarget()
-	if failure.Closed && failure.Outcome != outcome.NotRun && f.ctx.Err() == nil {
-		run := f.known.run(f.identify(), f.trialCrashes, s.suspects.innocent.has)
-		s.crashes.connectionClosed(f.ctx, &brokenRun{request: f.call.id, parts: f.call.parts, run: run, target: target, at: time.Now()})
+	closed := failure.Closed && failure.Outcome != outcome.NotRun && f.ctx.Err() == nil
+	if !closed {
+		f.endTrial()
+		return
 	}
+	f.trial = nil // the target may have crashed, which may show later
+	run := f.known.run(f.identify(), f.trialCrashes, s.suspects.innocent.has)
+	s.crashes.connectionClosed(f.ctx, &brokenRun{request: f.call.id, parts: f.call.parts, run: run, target: target, at: time.Now()})
 }
 
 // checkRetry returns nil if the request may be sent to another target, or the
--- a/services/entry/suspects.go
+++ b/services/entry/suspects.go
@@ -105,6 +105,14 @@
 	return &rpc.TrialGrant{Allowed: allowed, Crashes: crashes}
 }
 
+// endTrial ends a trial that showed nothing.
+func (s *suspects) endTrial(r *rpc.TrialRequest) {
+	s.mu.Lock()
+	s.local.EndTrial(r.Ref, r.Holder)
+	s.mu.Unlock()
+	s.reporter.TrialEnded(&catalog.EndedTrial{Ref: r.Ref, Holder: r.Holder})
+}
+
 // crashed records that a run ended with the crash of its target, and reports it to
 // the site.
 func (s *suspects) crashed(b *brokenRun, evidence string) {
--- a/services/entry/suspicion.go
+++ b/services/entry/suspicion.go
@@ -22,8 +22,6 @@
 	// maxInnocentBody bounds the bodies, in bytes, that are digested at each complete
 	// response.
 	maxInnocentBody = 64 << 10
-	// maxTrial is how long a trial without a result keeps other runs back.
-	maxTrial = 3 * time.Second
 )
 
 // subjects identifies what a request may be suspected for.
@@ -177,15 +175,15 @@
 // beginTrial asks control for the only run of a request under which several targets
 // have crashed, and returns the failure if it may not run now.
 func (f *forwarding) beginTrial() *outcome.Error {
+	f.trialCrashes = 0
 	if f.known.deciding.crashes == 0 {
 		return nil
 	}
-	f.trialCrashes = 0
 	subject, needed := f.trialSubject()
 	if !needed {
 		return nil
 	}
-	lasts := min(maxTrial, time.Until(f.call.deadline))
+	lasts := time.Until(f.call.deadline) + replacedWait // a crash may show only when the target is back
 	request := &rpc.TrialRequest{Ref: subject, Holder: f.call.id, Service: f.service, RemainingMS: lasts.Milliseconds()}
 	grant, err := f.server.reporter.BeginTrial(f.ctx, request)
 	if err != nil {
@@ -196,10 +194,19 @@
 		return outcome.New(outcome.SuspectHeld, f.outcomeSoFar(),
 			"this request may crash targets: another run of it is on trial, or too few targets are up").WithRetryAfter(trialRetryAfter)
 	}
-	f.trialCrashes = grant.Crashes
+	f.trial, f.trialCrashes = request, grant.Crashes
 	return nil
 }
 
+// endTrial ends the trial of this request, if there is one: it showed nothing.
+func (f *forwarding) endTrial() {
+	if f.trial == nil {
+		return
+	}
+	f.server.suspects.endTrial(f.trial)
+	f.trial = nil
+}
+
 // noteCompleted records a complete response, which clears what is suspected of the
 // request and of what it shares with others.
 func (f *forwarding) noteCompleted() {
@@ -220,5 +227,6 @@
 	}
 	if len(suspected) > 0 {
 		s.completed(suspected)
+		f.trial = nil
 	}
 }
--- a/tests/site/crashing_rounds_test.go
+++ b/tests/site/crashing_rounds_test.go
@@ -41,6 +41,7 @@
 	path    func(n int) string  // of the nth request; it differs in its query only
 	lasting time.Duration       // of all rounds
 	body    func(n int) string  // of the nth request; nil: always the same
+	silent  bool                // crashed targets accept connections and send nothing
 	sound   func(n int) Request // nth sound request; nil: a stream with a body of its own
 }
 
@@ -116,6 +117,9 @@
 	targets := s.AddRestartingTargets(targetCount, "llm", 8, crashSoonByID)
 	t.Cleanup(targets.Stop)
 	targets.SetRestartDelay(c.down)
+	if c.silent {
+		targets.StaySilent()
+	}
 	for _, g := range s.Role(Gateway) {
 		awaitServed(t, s, g, "/ask/1", "first")
 	}
@@ -191,3 +195,19 @@
 		})
 	}
 }
+
+// Incident BUDGET: nothing refuses connections while a target is down, so that its
+// crash shows only once it is back, and a trial has no result until then.
+func TestCrashesThatShowLateEndTargets(t *testing.T) {
+	for i, c := range []struct {
+		copies int
+		pause  time.Duration
+	}{{1, 200 * time.Millisecond}, {1, time.Second}, {6, 3600 * time.Millisecond}, {12, 900 * time.Millisecond}} {
+		t.Run(fmt.Sprintf("%d every %s", c.copies, c.pause), func(t *testing.T) {
+			t.Parallel()
+			rounds := crashRounds{kind: "card", copies: c.copies, pause: c.pause, down: 2500 * time.Millisecond, path: sameQuery,
+				lasting: 24 * time.Second, silent: true}
+			rounds.check(t, 152+i, smallService)
+		})
+	}
+}
--- a/tests/site/restarts.go
+++ b/tests/site/restarts.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"banyanwalk/infra/pause"
 	"banyanwalk/platform"
 	"banyanwalk/services/standin"
 )
@@ -27,6 +29,7 @@
 
 	mu           sync.Mutex
 	restartDelay time.Duration
+	silent       bool              // crashed targets accept connections and send nothing
 	all          []*standin.Target // every incarnation
 	latest       []*standin.Target // by number
 	errors       []error           // of restarts
@@ -74,11 +77,37 @@
 		case <-target.Crashed():
 		}
 		reporter.close()
-		select {
-		case <-ctx.Done():
+		if !r.stayDown(ctx, addr) {
+			return
+		}
+	}
+}
+
+// stayDown waits until a crashed target is to start again, and reports whether it is.
+func (r *RestartingTargets) stayDown(ctx context.Context, addr string) bool {
+	r.mu.Lock()
+	delay, silent := r.restartDelay, r.silent
+	r.mu.Unlock()
+	if silent {
+		if l, err := net.Listen("tcp", addr); err == nil {
+			var accepting conc.WaitGroup
+			accepting.Go(func() { acceptSilently(l) })
+			defer accepting.Wait()
+			defer l.Close()
+		}
+	}
+	return pause.For(ctx, delay)
+}
+
+// acceptSilently accepts connections until the listener is closed, and then closes
+// them.
+func acceptSilently(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
 			return
-		case <-time.After(r.currentRestartDelay()):
 		}
+		defer conn.Close()
 	}
 }
 
@@ -89,10 +118,11 @@
 	r.restartDelay = delay
 }
 
-func (r *RestartingTargets) currentRestartDelay() time.Duration {
+// StaySilent makes crashed targets accept connections without an answer from now on.
+func (r *RestartingTargets) StaySilent() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.restartDelay
+	r.silent = true
 }
 
 // Crash ends the targets with the given numbers, all at once.
