--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -19,7 +19,7 @@
 // Trial is the run of a suspect that is allowed while no other run of it is: its
 // outcome is evidence by itself. Times are in milliseconds since 1970.
 type Trial struct {
-	Holder  string `msgpack:"h"` // attempt that runs
+	Holder  string `msgpack:"h"` // the run, by the id of the attempt and its number there
 	Service string `msgpack:"s"` // whose targets it may crash
 	UntilMS int64  `msgpack:"u"` // the trial has ended by then, also without a report
 }
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -152,7 +152,7 @@
 // TrialRequest asks for the only run of a suspect. See quarantine.Trial.
 type TrialRequest struct {
 	Ref         quarantine.Ref `msgpack:"r"`
-	Holder      string         `msgpack:"h"` // id of the attempt that is to run
+	Holder      string         `msgpack:"h"` // see quarantine.Trial
 	Service     string         `msgpack:"s"` // whose targets it may crash
 	RemainingMS int64          `msgpack:"l"` // time until the attempt's deadline, milliseconds
 }
--- a/services/entry/suspicion.go
+++ b/services/entry/suspicion.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -184,7 +185,8 @@
 		return nil
 	}
 	lasts := time.Until(f.call.deadline) + replacedWait // a crash may show only when the target is back
-	request := &rpc.TrialRequest{Ref: subject, Holder: f.call.id, Service: f.service, RemainingMS: lasts.Milliseconds()}
+	holder := fmt.Sprintf("%s/%d", f.call.id, f.executions)
+	request := &rpc.TrialRequest{Ref: subject, Holder: holder, Service: f.service, RemainingMS: lasts.Milliseconds()}
 	grant, err := f.server.reporter.BeginTrial(f.ctx, request)
 	if err != nil {
 		grant = f.server.suspects.beginTrial(request)
