A target that broke off and is not heard of makes the next runs trials

Cause: until a crash had shown, its request was placed as a sound one. Change: a run whose target closed the connection counts as a target under suspicion, until the target answers a request that it got later; the next new attempt with that content is a trial, and makes it a suspect without a crash for all gateways. A crash in a trial is evidence by itself.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -183,8 +183,8 @@
 	case c.Expire != nil:
 		return Result{VerdictsChanged: m.verdicts.Expire(index, c.Expire.AtMS)}
 	case c.Trial != nil:
-		allowed, crashes := m.verdicts.BeginTrial(c.Trial.Ref, c.Trial.Trial, c.Trial.AtOnce, c.Trial.AtMS)
-		return Result{TrialAllowed: allowed, TrialCrashes: crashes}
+		trial := m.verdicts.BeginTrial(index, c.Trial.Ref, c.Trial.Trial, c.Trial.AtOnce, c.Trial.AtMS)
+		return Result{VerdictsChanged: trial.Changed, TrialAllowed: trial.Allowed, TrialCrashes: trial.Crashes}
 	}
 	next := *m.state
 	result := next.execute(c)
@@ -203,7 +203,9 @@
 		}
 	}
 	for _, ended := range r.Ended {
-		m.verdicts.EndTrial(ended.Ref, ended.Holder)
+		if m.verdicts.EndTrial(index, ended.Ref, ended.Holder) {
+			change = true
+		}
 	}
 	// Most suspects complete on their next target, within the same report.
 	return m.verdicts.Complete(index, r.Completed) || change
--- a/core/quarantine/runs.go
+++ b/core/quarantine/runs.go
@@ -138,7 +138,7 @@
 		return false
 	}
 	count := record.Verdict.Crashes
-	if run.KnownCrashes >= count {
+	if run.KnownCrashes >= count || run.Trial {
 		count++
 	}
 	if crash.MostCrashes > 1 && crash.MostCrashes > count {
@@ -165,14 +165,15 @@
 			continue
 		}
 		count := record.Verdict.Crashes
-		if part.KnownCrashes >= count && !atCrash {
+		alone := run.Trial && ref.Kind == Variants
+		if (part.KnownCrashes >= count || alone) && !atCrash {
 			count++
 		}
 		if !counted {
 			record.Contents = append(slices.Clone(record.Contents), run.Digest)
 			record.Contents = record.Contents[max(0, len(record.Contents)-maxRecordCrashes):]
 		}
-		if run.Trial && ref.Kind == Variants {
+		if alone {
 			record.TrialCrashes++
 		}
 		if ref.Kind == PromptPart {
--- a/core/quarantine/verdicts.go
+++ b/core/quarantine/verdicts.go
@@ -165,6 +165,9 @@
 }
 
 func (r *Record) expired(nowMS int64) bool {
+	if r.Verdict.Crashes == 0 {
+		return nowMS > r.Trial.UntilMS
+	}
 	ttl := suspectTTL
 	if r.Convicted || r.Verdict.Level == Quarantined {
 		ttl = quarantineTTL
--- a/services/entry/crash_detector.go
+++ b/services/entry/crash_detector.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"banyanwalk/core/quarantine"
 	"banyanwalk/core/roster"
+	"banyanwalk/infra/rpc"
 	"banyanwalk/services/follow"
 )
 
@@ -32,6 +35,7 @@
 	parts   []string // ids of the parts of the prompt that other requests may share
 	run     quarantine.Run
 	target  *roster.Record
+	trial   *rpc.TrialRequest // that the run was; nil: none
 	at      time.Time
 }
 
@@ -43,6 +47,7 @@
 	follower  *follow.Follower
 	onCrashed func(b *brokenRun, evidence string)
 
+	count  atomic.Int64 // of broken
 	mu     sync.Mutex
 	broken []*brokenRun // oldest first
 	wake   chan struct{}
@@ -65,6 +70,7 @@
 	d.mu.Lock()
 	d.broken = append(d.broken, b)
 	d.broken = d.broken[max(0, len(d.broken)-maxBroken):]
+	d.count.Store(int64(len(d.broken)))
 	d.mu.Unlock()
 	select {
 	case d.wake <- struct{}{}:
@@ -72,6 +78,45 @@
 	}
 }
 
+// empty reports whether no run is undecided.
+func (d *crashDetector) empty() bool { return d.count.Load() == 0 }
+
+// undecided returns the number of targets that broke off a run of a subject and may
+// still turn out to have crashed.
+func (d *crashDetector) undecided(ref quarantine.Ref) int {
+	if d.empty() {
+		return 0
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	targets := make(map[quarantine.Crash]bool)
+	for _, b := range d.broken {
+		if slices.Contains(b.run.Subjects(), ref) {
+			targets[quarantine.Crash{Target: b.target.ID, Incarnation: uint64(b.target.Incarnation)}] = true
+		}
+	}
+	return len(targets)
+}
+
+// targetLives drops the broken runs of a target that has answered a request that it got
+// after them, and returns the trials among them.
+func (d *crashDetector) targetLives(target *roster.Record, sentAt time.Time) (trials []*rpc.TrialRequest) {
+	if d.empty() {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.broken = slices.DeleteFunc(d.broken, func(b *brokenRun) bool {
+		lives := b.target.ID == target.ID && b.target.Incarnation == target.Incarnation && b.at.Before(sentAt)
+		if lives && b.trial != nil {
+			trials = append(trials, b.trial)
+		}
+		return lives
+	})
+	d.count.Store(int64(len(d.broken)))
+	return trials
+}
+
 // refusesConnections reports whether no process listens at an address.
 func refusesConnections(ctx context.Context, addr string) bool {
 	dialer := net.Dialer{Timeout: endedDialTimeout}
@@ -116,6 +161,7 @@
 		}
 	}
 	d.broken = left
+	d.count.Store(int64(len(left)))
 	d.mu.Unlock()
 	for _, b := range crashed {
 		d.onCrashed(b, "new_incarnation")
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -63,7 +63,8 @@
 	parts        []quarantine.Ref  // nil: not computed yet
 	known        assessment        // when the request was sent to target
 	trial        *rpc.TrialRequest // under way; nil: none
-	trialCrashes int               // crashes known when the trial of this request began; 0: it is none
+	onTrial      bool              // the current run is a trial
+	trialCrashes int               // crashes known when it began
 	response     *targetcall.Response
 }
 
@@ -210,6 +211,11 @@
 	}
 	if failure == nil {
 		s.follower.Targets.Succeeded(target)
+		if f.target != nil {
+			for _, trial := range s.crashes.targetLives(f.target, f.call.started) {
+				s.suspects.endTrial(trial)
+			}
+		}
 		if status < http.StatusMultipleChoices {
 			f.noteCompleted()
 		}
@@ -355,9 +361,10 @@
 		f.endTrial()
 		return
 	}
-	f.trial = nil // the target may have crashed, which may show later
-	run := f.known.run(f.identify(), f.trialCrashes, s.suspects.innocent.has)
-	s.crashes.connectionClosed(f.ctx, &brokenRun{request: f.call.id, parts: f.call.parts, run: run, target: target, at: time.Now()})
+	trial := f.trial
+	f.trial = nil // it lasts on: the target may have crashed, which may show later
+	run := f.known.run(f.identify(), f.onTrial, f.trialCrashes, s.suspects.innocent.has)
+	s.crashes.connectionClosed(f.ctx, &brokenRun{request: f.call.id, parts: f.call.parts, run: run, target: target, trial: trial, at: time.Now()})
 }
 
 // checkRetry returns nil if the request may be sent to another target, or the
--- a/services/entry/suspects.go
+++ b/services/entry/suspects.go
@@ -100,15 +100,18 @@
 	if site, known := s.follower.Verdict(r.Ref); known && site.Level > quarantine.Cleared {
 		s.local.Adopt(s.index, site.Verdict, nowMS)
 	}
-	allowed, crashes := s.local.BeginTrial(r.Ref, quarantine.Trial{Holder: r.Holder, Service: r.Service, UntilMS: nowMS + r.RemainingMS}, 1, nowMS)
+	trial := quarantine.Trial{Holder: r.Holder, Service: r.Service, UntilMS: nowMS + r.RemainingMS}
+	result := s.local.BeginTrial(s.index, r.Ref, trial, 1, nowMS)
 	s.localCount.Store(int64(s.local.Len()))
-	return &rpc.TrialGrant{Allowed: allowed, Crashes: crashes}
+	return &rpc.TrialGrant{Allowed: result.Allowed, Crashes: result.Crashes}
 }
 
 // endTrial ends a trial that showed nothing.
 func (s *suspects) endTrial(r *rpc.TrialRequest) {
 	s.mu.Lock()
-	s.local.EndTrial(r.Ref, r.Holder)
+	s.index++
+	s.local.EndTrial(s.index, r.Ref, r.Holder)
+	s.localCount.Store(int64(s.local.Len()))
 	s.mu.Unlock()
 	s.reporter.TrialEnded(&catalog.EndedTrial{Ref: r.Ref, Holder: r.Holder})
 }
--- a/services/entry/suspicion.go
+++ b/services/entry/suspicion.go
@@ -83,10 +83,9 @@
 }
 
 // run returns the run that a crash of the target is recorded with, without what is
-// innocent. trialCrashes is the number of crashes that were known when its trial began,
-// or 0.
-func (a *assessment) run(s *subjects, trialCrashes int, innocent func(part quarantine.Ref) bool) quarantine.Run {
-	run := quarantine.Run{Ref: s.content, KnownCrashes: max(trialCrashes, a.content.crashes), Trial: trialCrashes > 0}
+// innocent. trialCrashes is the number of crashes that were known when its trial began.
+func (a *assessment) run(s *subjects, onTrial bool, trialCrashes int, innocent func(part quarantine.Ref) bool) quarantine.Run {
+	run := quarantine.Run{Ref: s.content, KnownCrashes: max(trialCrashes, a.content.crashes), Trial: onTrial}
 	for i, ref := range s.parts {
 		if innocent(ref) {
 			continue
@@ -156,28 +155,41 @@
 // are left out: sound requests have them too. So is the first retry after a crash, as
 // most requests that were at a crashed target are sound, and content that completed
 // lately.
+//
+// A target that broke off and may still turn out to have crashed counts as well.
 func (f *forwarding) trialSubject() (ref quarantine.Ref, needed bool) {
+	s := f.server
 	minTargets := quarantine.TrialTargets
 	if f.executions == 0 {
 		minTargets = 1
 	}
-	of, known := f.identify(), &f.known
-	if known.content.targets >= minTargets && !f.server.suspects.innocent.has(of.content) {
+	of := f.identify()
+	if f.suspectTargets(of.content, &f.known.content) >= minTargets && !s.suspects.innocent.has(of.content) {
 		return of.content, true
 	}
-	for i, part := range known.parts {
-		if of.parts[i].Kind == quarantine.Variants && part.targets >= minTargets {
+	for i := range f.known.parts {
+		if of.parts[i].Kind == quarantine.Variants && f.suspectTargets(of.parts[i], &f.known.parts[i]) >= minTargets {
 			return of.parts[i], true
 		}
 	}
 	return quarantine.Ref{}, false
 }
 
+// suspectTargets returns the number of targets that have crashed, or may have, under a
+// subject. A trial of it elsewhere means one at least.
+func (f *forwarding) suspectTargets(ref quarantine.Ref, known *suspicion) int {
+	targets := max(known.targets, f.server.crashes.undecided(ref))
+	if known.level > quarantine.Cleared {
+		targets = max(1, targets)
+	}
+	return targets
+}
+
 // beginTrial asks control for the only run of a request under which several targets
 // have crashed, and returns the failure if it may not run now.
 func (f *forwarding) beginTrial() *outcome.Error {
-	f.trialCrashes = 0
-	if f.known.deciding.crashes == 0 {
+	f.onTrial, f.trialCrashes = false, 0
+	if f.server.suspects.empty() && f.server.crashes.empty() {
 		return nil
 	}
 	subject, needed := f.trialSubject()
@@ -196,7 +208,7 @@
 		return outcome.New(outcome.SuspectHeld, f.outcomeSoFar(),
 			"this request may crash targets: another run of it is on trial, or too few targets are up").WithRetryAfter(trialRetryAfter)
 	}
-	f.trial, f.trialCrashes = request, grant.Crashes
+	f.trial, f.onTrial, f.trialCrashes = request, true, grant.Crashes
 	return nil
 }
 
@@ -223,7 +235,7 @@
 	subjects := f.identify()
 	var suspected []quarantine.Ref
 	for _, ref := range append(slices.Clone(subjects.parts), subjects.content) {
-		if s.lookup(ref).crashes > 0 {
+		if known := s.lookup(ref); known.crashes > 0 || known.level > quarantine.Cleared {
 			suspected = append(suspected, ref)
 		}
 	}
