--- a/core/quarantine/runs.go
+++ b/core/quarantine/runs.go
@@ -145,7 +145,7 @@
 		return false // another subject that ran there explains the crash
 	}
 	if run.Trial {
-		record.TrialCrashes++
+		record.endTrial()
 	}
 	q.count(index, crash, run.Ref, record, count)
 	return true
@@ -174,7 +174,7 @@
 			record.Contents = record.Contents[max(0, len(record.Contents)-maxRecordCrashes):]
 		}
 		if alone {
-			record.TrialCrashes++
+			record.endTrial()
 		}
 		if ref.Kind == PromptPart {
 			record.Verdict.With = companions(&record, found, run, part.Digest)
--- a/core/quarantine/runs_test.go
+++ b/core/quarantine/runs_test.go
@@ -409,11 +409,28 @@
 	assert.False(t, begin("a", 1001), "it was not the trial under way")
 	table.EndTrial(50, ref(1), "b")
 	assert.True(t, begin("a", 1001))
-	table.crash(ref(1))
-	assert.True(t, begin("c", 1002), "a crash ends it")
+	assert.False(t, begin("c", 1002))
+	table.RecordRuns(51, Crash{Target: "early"}, []Run{{Ref: ref(1)}}, 0)
+	assert.False(t, begin("c", 1002), "another run's crash shows late")
+	table.RecordRuns(52, Crash{Target: "trial"}, []Run{{Ref: ref(1), Trial: true}}, 0)
+	assert.True(t, begin("c", 1002), "its crash ends it")
 	table.crash(ref(1))
 	assert.False(t, begin("d", 5000), "quarantined")
-	assert.True(t, table.HasCrashed("t5", 1))
+	assert.True(t, table.HasCrashed("t4", 1))
+}
+
+// A suspect without a crash is the first to be evicted from a full table, also while
+// it is on trial.
+func TestTrialInFullTable(t *testing.T) {
+	table := newRunTable()
+	for n := range maxVerdicts {
+		refs := Ref{Workspace: "w", Digest: Digest{byte(n), byte(n >> 8), 1}}
+		table.RecordRuns(uint64(n+1), Crash{Target: fmt.Sprint(n)}, []Run{{Ref: refs}}, 0)
+	}
+	assert.True(t, table.BeginTrial(9000, ref(0), Trial{Holder: "a", UntilMS: 10}, 1, 0).Allowed)
+	assert.Equal(t, maxVerdicts, table.Len())
+	restored := Restore(table.Snapshot())
+	assert.Equal(t, table.records, restored.records)
 }
 
 // A run broke off and its target has not been heard of since: the next run is a trial,
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -42,15 +42,14 @@
 	if record.Verdict.Level == Quarantined || taken || q.otherTrials(ref, trial.Service, nowMS) >= atOnce {
 		return result
 	}
+	record.Trial = trial
+	q.records[ref] = record
+	result.Allowed = true
 	if !found {
 		q.set(index, ref, Suspect, 0, index, nowMS)
 		q.evict(index)
 		result.Changed = true
-		record = q.records[ref]
 	}
-	record.Trial = trial
-	q.records[ref] = record
-	result.Allowed = true
 	return result
 }
 
@@ -70,6 +69,12 @@
 	return false
 }
 
+// endTrial notes that the trial has ended with a crash.
+func (r *Record) endTrial() {
+	r.TrialCrashes++
+	r.Trial = Trial{}
+}
+
 // otherTrials returns the number of trials under way at a service, except that of one
 // subject.
 func (q *Verdicts) otherTrials(except Ref, service string, nowMS int64) int {
--- a/core/quarantine/verdicts.go
+++ b/core/quarantine/verdicts.go
@@ -219,7 +219,6 @@
 	record := q.records[key]
 	record.Verdict = Verdict{Workspace: key.Workspace, Digest: key.Digest, Kind: key.Kind, Level: level, Crashes: crashes, Revision: index,
 		Targets: len(record.Crashes), With: record.Verdict.With}
-	record.Trial = Trial{} // a crash ends it
 	record.CrashIndex = crashIndex
 	record.LastCrashMS = atMS
 	record.Convicted = record.Convicted || level == Quarantined
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -109,7 +109,7 @@
 	cfg.Follower.Targets.ShareLimits(cfg.Name)
 	s.preemptions = newPreemptions(s.jobs)
 	s.slots = newSlots(cfg.Follower, s.jobs)
-	s.origins = newStreamOrigins(cfg.Follower, s.jobs)
+	s.origins = newStreamOrigins(cfg.Follower, s.jobs, metrics.GetOrRegisterCounter("entry.stream_reports.dropped", cfg.Metrics))
 	s.reporter = crashreport.New(cfg.Follower, cfg.Log, metrics.GetOrRegisterCounter("entry.crash_reports.dropped", cfg.Metrics))
 	s.suspects = newSuspects(cfg.Follower, s.reporter, cfg.Log, cfg.Metrics)
 	s.crashes = newCrashDetector(cfg.Follower, s.suspects.crashed)
--- a/services/entry/origins.go
+++ b/services/entry/origins.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/routing"
 	"banyanwalk/core/streams"
@@ -21,8 +23,9 @@
 	originRetryAfter = 300 * time.Millisecond
 	// reportInterval is the time between two reports of streams that this gateway has
 	// placed by itself.
-	reportInterval = 20 * time.Millisecond
-	reportTimeout  = 500 * time.Millisecond
+	reportInterval      = 20 * time.Millisecond
+	reportRetryInterval = 200 * time.Millisecond // after a report that failed
+	reportTimeout       = 500 * time.Millisecond
 	// maxUnreported bounds the streams waiting to be reported.
 	maxUnreported = 8192
 )
@@ -32,6 +35,7 @@
 type streamOrigins struct {
 	follower *follow.Follower
 	jobs     *jobClient
+	dropped  metrics.Counter
 
 	mu         sync.Mutex
 	own        *streams.Table
@@ -39,8 +43,8 @@
 	wake       chan struct{}
 }
 
-func newStreamOrigins(f *follow.Follower, jobs *jobClient) *streamOrigins {
-	return &streamOrigins{follower: f, jobs: jobs, own: streams.NewTable(), wake: make(chan struct{}, 1)}
+func newStreamOrigins(f *follow.Follower, jobs *jobClient, dropped metrics.Counter) *streamOrigins {
+	return &streamOrigins{follower: f, jobs: jobs, dropped: dropped, own: streams.NewTable(), wake: make(chan struct{}, 1)}
 }
 
 // begun notes where a stream is about to begin. brokerKnows is set if the broker has
@@ -49,7 +53,11 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.own.Record(key, origin)
-	if brokerKnows || len(o.unreported) >= maxUnreported {
+	switch {
+	case brokerKnows:
+		return
+	case len(o.unreported) >= maxUnreported:
+		o.dropped.Inc(1)
 		return
 	}
 	o.unreported = append(o.unreported, streams.Group{Origin: origin, Keys: []streams.Key{key}})
@@ -112,7 +120,9 @@
 			return
 		case <-o.wake:
 		}
-		for pause.For(ctx, reportInterval) && !o.report(ctx) {
+		interval := reportInterval
+		for pause.For(ctx, interval) && !o.report(ctx) {
+			interval = reportRetryInterval
 		}
 	}
 }
--- a/services/entry/suspicion.go
+++ b/services/entry/suspicion.go
@@ -167,9 +167,16 @@
 	if f.suspectTargets(of.content, &f.known.content) >= minTargets && !s.suspects.innocent.has(of.content) {
 		return of.content, true
 	}
-	for i := range f.known.parts {
-		if of.parts[i].Kind == quarantine.Variants && f.suspectTargets(of.parts[i], &f.known.parts[i]) >= minTargets {
-			return of.parts[i], true
+	for i, part := range of.parts {
+		if part.Kind != quarantine.Variants || s.suspects.innocent.has(part) {
+			continue
+		}
+		known := suspicion{}
+		if i < len(f.known.parts) {
+			known = f.known.parts[i]
+		}
+		if f.suspectTargets(part, &known) >= minTargets {
+			return part, true
 		}
 	}
 	return quarantine.Ref{}, false
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -132,7 +132,7 @@
 	s.reporter = crashreport.New(s.cfg.Follower, s.log, metrics.GetOrRegisterCounter("jobhost.crash_reports.dropped", s.cfg.Metrics))
 	s.runner = newRunner(s, group)
 	s.broker = newBroker(s, s.runner)
-	s.origins = newStreamOrigins(s)
+	s.origins = newStreamOrigins(s, metrics.GetOrRegisterCounter("broker.streams.dropped", s.cfg.Metrics))
 	group.Register(s.wire)
 	wire.HandleUnary(s.wire, rpc.MethodJobSubmit, s.submit)
 	wire.HandleUnary(s.wire, rpc.MethodJobRead, s.readResults)
--- a/services/jobhost/origins.go
+++ b/services/jobhost/origins.go
@@ -5,8 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"banyanwalk/core/jobs"
 	"banyanwalk/core/streams"
+	"banyanwalk/infra/pause"
 	"banyanwalk/infra/rpc"
 )
 
@@ -14,7 +17,9 @@
 	// originInterval is the time between two log entries on streams that have begun,
 	// and so how many of them a lost leader takes with it.
 	originInterval = 50 * time.Millisecond
-	originTimeout  = 2 * time.Second // of one log entry
+	// idleOriginInterval is the time between two looks whether this host is the broker.
+	idleOriginInterval = 500 * time.Millisecond
+	originTimeout      = 2 * time.Second // of one log entry, and of the confirmation of one look-up
 	// maxUnloggedKeys bounds the streams waiting to be logged.
 	maxUnloggedKeys = 1 << 15
 )
@@ -24,7 +29,8 @@
 // outlives the gateways. For services that have had several versions, the replicated
 // log has them too, which outlives the broker.
 type streamOrigins struct {
-	server *Server
+	server  *Server
+	dropped metrics.Counter
 
 	mu       sync.Mutex
 	recent   *streams.Table
@@ -33,8 +39,8 @@
 	keys     int // in unlogged
 }
 
-func newStreamOrigins(s *Server) *streamOrigins {
-	return &streamOrigins{server: s, recent: streams.NewTable(), several: make(map[string]bool), unlogged: make(map[streams.Origin][]streams.Key)}
+func newStreamOrigins(s *Server, dropped metrics.Counter) *streamOrigins {
+	return &streamOrigins{server: s, dropped: dropped, recent: streams.NewTable(), several: make(map[string]bool), unlogged: make(map[streams.Origin][]streams.Key)}
 }
 
 // begun notes streams.
@@ -52,6 +58,7 @@
 // queue adds streams to those to be logged. The caller holds the lock.
 func (o *streamOrigins) queue(g streams.Group) {
 	if o.keys+len(g.Keys) > maxUnloggedKeys {
+		o.dropped.Inc(int64(len(g.Keys)))
 		return
 	}
 	o.unlogged[g.Origin] = append(o.unlogged[g.Origin], g.Keys...)
@@ -60,15 +67,11 @@
 
 // run logs streams and versions while this host is the broker, until ctx ends.
 func (o *streamOrigins) run(ctx context.Context) {
-	ticker := time.NewTicker(originInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	interval := idleOriginInterval
+	for pause.For(ctx, interval) {
+		interval = idleOriginInterval
 		if o.server.BrokerID() != 0 {
+			interval = originInterval
 			o.log(ctx)
 		}
 	}
@@ -153,7 +156,9 @@
 	o.mu.Unlock()
 	source := "memory"
 	if !known {
-		if err := o.server.group.Load().ReadBarrier(ctx); err != nil {
+		bounded, cancel := context.WithTimeout(ctx, originTimeout)
+		defer cancel()
+		if err := o.server.group.Load().ReadBarrier(bounded); err != nil {
 			return nil, err
 		}
 		origin, source, known = o.findLogged(r)
--- a/services/jobhost/origins_test.go
+++ b/services/jobhost/origins_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
@@ -134,7 +135,7 @@
 	const perEntry = 34
 	size := 0
 	for b.Loop() {
-		origins := newStreamOrigins(nil)
+		origins := newStreamOrigins(nil, metrics.NewCounter())
 		origins.several["llm"] = true
 		for n := range perEntry {
 			origin := streams.Origin{Service: "llm", Version: []string{"v1", "v1.1"}[n%2]}
