--- a/cmd/banyanctl/site.go
+++ b/cmd/banyanctl/site.go
@@ -119,9 +119,9 @@
 	}
 	members.flush()
 	fmt.Fprintln(out)
-	targets := newTable(out, "TARGET", "SERVICE", "ADDRESS", "DATA CENTRE", "STATE", "SLOTS", "ONLINE", "BATCH", "SILENT S")
+	targets := newTable(out, "TARGET", "SERVICE", "ADDRESS", "DATA CENTRE", "VERSION", "STATE", "SLOTS", "ONLINE", "BATCH", "SILENT S")
 	for _, t := range s.Targets {
-		targets.row(t.ID, t.Service, t.Addr, t.DataCentre, t.State, t.Slots, t.Online, t.Batch, formatSeconds(t.SilentMS))
+		targets.row(t.ID, t.Service, t.Addr, t.DataCentre, orDash(t.Version), t.State, t.Slots, t.Online, t.Batch, formatSeconds(t.SilentMS))
 	}
 	targets.flush()
 }
--- a/infra/rpc/status.go
+++ b/infra/rpc/status.go
@@ -42,6 +42,7 @@
 	Service    string `msgpack:"s" json:"service"`
 	Addr       string `msgpack:"a" json:"addr"`
 	DataCentre string `msgpack:"d" json:"data_centre"`
+	Version    string `msgpack:"v" json:"version"` // of its software
 	State      string `msgpack:"t" json:"state"`
 	Slots      int    `msgpack:"n" json:"slots"`
 	Online     int    `msgpack:"o" json:"online"` // online requests at the target, as reported by the members
--- a/services/director/status.go
+++ b/services/director/status.go
@@ -38,8 +38,8 @@
 	}
 	var targets []rpc.TargetStatus
 	for _, record := range r.roster.All() {
-		targets = append(targets, rpc.TargetStatus{ID: record.ID, Service: record.Service, Addr: record.Addr, DataCentre: record.DataCentre, State: record.State.String(),
-			Slots: record.Slots, Online: loads[record.ID].Online, Batch: loads[record.ID].Batch, SilentMS: now.Sub(record.ReceivedAt).Milliseconds()})
+		targets = append(targets, rpc.TargetStatus{ID: record.ID, Service: record.Service, Addr: record.Addr, DataCentre: record.DataCentre, Version: record.Version,
+			State: record.State.String(), Slots: record.Slots, Online: loads[record.ID].Online, Batch: loads[record.ID].Batch, SilentMS: now.Sub(record.ReceivedAt).Milliseconds()})
 	}
 	slices.SortFunc(members, func(a, b rpc.MemberStatus) int {
 		return cmp.Or(cmp.Compare(a.Role, b.Role), cmp.Compare(a.Name, b.Name))
