core/jobs: saved output never joins the texts of two writers

Change: each text in a leader's memory has a writer; saved output goes on by its writer, or by the one that went on from it, once. A text that begins again replaces it. TestSavedTextHoldsEventsOfOneWriter fails without the change.

--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -77,6 +77,9 @@
 	Last int64  `msgpack:"l"` // id of the last event in Text
 	// Origin is where the text began. It goes on only there.
 	Origin streams.Origin `msgpack:"o,omitempty"`
+	// Writer identifies the progress in memory that the text comes from. Another one
+	// may hold other events under the same ids.
+	Writer uint64 `msgpack:"w,omitempty"`
 }
 
 // Open reports whether an item still needs a result.
@@ -141,6 +144,9 @@
 	Last   int64          `msgpack:"l"` // id of the last event in Text
 	Text   string         `msgpack:"t"` // starts with a line feed, unless From is 0
 	Origin streams.Origin `msgpack:"o,omitempty"`
+	Writer uint64         `msgpack:"w,omitempty"` // as in Partial
+	// Former is the writer of the saved output that Writer went on from.
+	Former uint64 `msgpack:"b,omitempty"`
 }
 
 // EndJob ends a job at the request of its workspace.
--- a/core/jobs/jobs_test.go
+++ b/core/jobs/jobs_test.go
@@ -10,7 +10,6 @@
 	"pgregory.net/rapid"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/core/streams"
 )
 
 func newSpec(id, workspace string, items int) *Spec {
@@ -179,21 +178,25 @@
 	return &c
 }
 
-// Progress of a text that began again elsewhere replaces the saved output; what other
-// runs bring is ignored.
-func TestProgressOfTextThatBeganAgain(t *testing.T) {
+// Incident ORDER: saved output never joins texts of two writers, though their event ids
+// fit. One that begins again replaces it; one that went on from it goes on.
+func TestSavedTextHoldsEventsOfOneWriter(t *testing.T) {
 	m := NewMachine()
 	m.Apply(Command{Submit: &Spec{ID: "j", Items: make([]Item, 1)}})
-	old, newer := streams.Origin{Service: "s", Version: "v1"}, streams.Origin{Service: "s", Version: "v1.1"}
-	save := func(p Progress) Partial {
-		p.ItemRef = ItemRef{Job: "j"}
+	save := func(writer, former uint64, from, last int64, text string) string {
+		p := Progress{ItemRef: ItemRef{Job: "j"}, From: from, Last: last, Text: text, Writer: writer, Former: former}
 		m.Apply(Command{Save: []Progress{p}})
-		return m.Job("j").Partial[0]
+		return m.Job("j").Partial[0].Text
 	}
-	assert.Equal(t, Partial{Text: "a\nb", Last: 2, Origin: old}, save(Progress{Last: 2, Text: "a\nb", Origin: old}))
-	assert.Equal(t, Partial{Text: "a\nb", Last: 2, Origin: old}, save(Progress{From: 2, Last: 3, Text: "\nC", Origin: newer}), "another version goes on")
-	assert.Equal(t, Partial{Text: "A", Last: 1, Origin: newer}, save(Progress{Last: 1, Text: "A", Origin: newer}))
-	assert.Equal(t, Partial{Text: "A\nB", Last: 2, Origin: newer}, save(Progress{From: 1, Last: 2, Text: "\nB", Origin: newer}))
+	assert.Equal(t, "a\nb", save(1, 0, 0, 2, "a\nb"))
+	assert.Equal(t, "a\nb", save(2, 0, 2, 3, "\nX"), "another text whose ids fit")
+	assert.Equal(t, "a\nb\nc", save(3, 1, 2, 3, "\nc"), "a new leader went on from it")
+	assert.Equal(t, "a\nb\nc", save(1, 0, 3, 4, "\nY"), "the former leader is late")
+	assert.Equal(t, "a\nb\nc\nd", save(3, 1, 3, 4, "\nd"))
+	assert.Equal(t, "A", save(4, 0, 0, 1, "A"), "the text began again")
+	assert.Equal(t, "A", save(3, 1, 4, 5, "\ne"))
+	assert.Equal(t, "A", save(3, 1, 1, 2, "\nZ"))
+	assert.Equal(t, "A\nB", save(4, 0, 1, 2, "\nB"))
 	restored := Restore(m.Snapshot())
 	assert.Equal(t, m.Job("j").Partial, restored.Job("j").Partial)
 }
--- a/core/jobs/machine.go
+++ b/core/jobs/machine.go
@@ -145,8 +145,8 @@
 }
 
 // save appends progress to the saved output of items. Progress that does not
-// continue the saved output comes from another run of the item and is ignored, unless
-// the item began again elsewhere.
+// continue the saved output of its writer, or of the one that this went on from, comes
+// from another run of the item and is ignored. A text that begins again replaces it.
 func (m *Machine) save(parts []Progress) {
 	for _, p := range parts {
 		job := m.jobs[p.Job]
@@ -154,16 +154,17 @@
 			continue
 		}
 		kept := job.Partial[p.Item]
-		if p.From == 0 && p.Origin != kept.Origin {
+		if p.From == 0 && p.Writer != kept.Writer {
 			kept = Partial{}
 		}
-		if kept.Last != p.From || p.From > 0 && kept.Origin != p.Origin {
+		goesOn := p.Writer == kept.Writer || p.Former != 0 && p.Former == kept.Writer
+		if kept.Last != p.From || p.From > 0 && !goesOn {
 			continue
 		}
 		if job.Partial == nil {
 			job.Partial = make(map[int]Partial)
 		}
-		job.Partial[p.Item] = Partial{Text: kept.Text + p.Text, Last: p.Last, Origin: p.Origin}
+		job.Partial[p.Item] = Partial{Text: kept.Text + p.Text, Last: p.Last, Origin: p.Origin, Writer: p.Writer}
 	}
 }
 
--- a/services/jobhost/progress.go
+++ b/services/jobhost/progress.go
@@ -1,6 +1,7 @@
 package jobhost
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -35,6 +36,8 @@
 	fruitless int           // runs in a row that yielded no event
 
 	mu         sync.Mutex
+	writer     uint64         // identifies this text from its beginning here; see jobs.Partial
+	former     uint64         // writer of the saved text that it went on from; 0: none, or its first part is saved
 	origin     streams.Origin // where the text began, and may go on; set with the first event
 	versionFor time.Time      // since when no target of that version takes requests; zero: one does
 	text       []byte
@@ -45,7 +48,7 @@
 
 // newProgress starts from the progress of an item in the replicated log.
 func newProgress(logged jobs.Partial) *progress {
-	return &progress{origin: logged.Origin, text: []byte(logged.Text), lastEvent: logged.Last, savedEvent: logged.Last, savedBytes: len(logged.Text)}
+	return &progress{writer: rand.Uint64(), former: logged.Writer, origin: logged.Origin, text: []byte(logged.Text), lastEvent: logged.Last, savedEvent: logged.Last, savedBytes: len(logged.Text)}
 }
 
 // nextRetryDelay returns the delay after a run that started after the event
@@ -73,7 +76,7 @@
 		return targetcall.ErrEventGap
 	}
 	if len(p.text)+len(e.Data) >= maxTextBytes {
-		p.text, p.lastEvent, p.savedEvent, p.savedBytes = nil, 0, 0, 0
+		p.beginAgain()
 		return errTextTooLong
 	}
 	if p.lastEvent > 0 {
@@ -108,10 +111,16 @@
 	case now.Sub(p.versionFor) < versionWait:
 		return false
 	}
-	p.text, p.lastEvent, p.savedEvent, p.savedBytes, p.versionFor = nil, 0, 0, 0, time.Time{}
+	p.beginAgain()
 	return true
 }
 
+// beginAgain drops the text. The caller holds the lock.
+func (p *progress) beginAgain() {
+	p.text, p.lastEvent, p.savedEvent, p.savedBytes, p.versionFor = nil, 0, 0, 0, time.Time{}
+	p.writer, p.former = rand.Uint64(), 0
+}
+
 // lastEventID returns the id of the last event.
 func (p *progress) lastEventID() int64 {
 	p.mu.Lock()
@@ -134,7 +143,8 @@
 	if p.lastEvent == p.savedEvent {
 		return unsaved, false
 	}
-	unsaved = jobs.Progress{ItemRef: ref, From: p.savedEvent, Last: p.lastEvent, Text: string(p.text[p.savedBytes:]), Origin: p.origin}
-	p.savedEvent, p.savedBytes = p.lastEvent, len(p.text)
+	unsaved = jobs.Progress{ItemRef: ref, From: p.savedEvent, Last: p.lastEvent, Text: string(p.text[p.savedBytes:]), Origin: p.origin,
+		Writer: p.writer, Former: p.former}
+	p.savedEvent, p.savedBytes, p.former = p.lastEvent, len(p.text), 0
 	return unsaved, true
 }
--- a/services/jobhost/unlucky_item_test.go
+++ b/services/jobhost/unlucky_item_test.go
@@ -112,5 +112,6 @@
 	assert.Equal(t, "one\ntwo", p.fullText())
 	unsaved, ok := p.takeUnsaved(jobs.ItemRef{})
 	assert.True(t, ok)
-	assert.Equal(t, jobs.Progress{Last: 2, Text: "one\ntwo"}, unsaved)
+	assert.NotZero(t, unsaved.Writer)
+	assert.Equal(t, jobs.Progress{Last: 2, Text: "one\ntwo", Writer: unsaved.Writer}, unsaved)
 }
