services/jobhost: a pass of the runner looks at each version once

Cause: since items are bound to versions, a full service no longer ended the pass for items that had begun: each of them looked at all targets, some hundred times a second. Change: what a pass finds full, present or gone is kept for the rest of it. An item whose service has no target at all waits and does not begin again.

--- a/services/jobhost/runner.go
+++ b/services/jobhost/runner.go
@@ -135,9 +135,9 @@
 	r.cancelClosed()
 	r.preemptAtFullTargets()
 	order, items := r.runnableItems(now)
-	fullServices := make(map[string]bool)
+	pass := newSchedulePass()
 	for i := range order {
-		r.startItem(ctx, now, order[i].Ref, items[order[i].Ref], fullServices)
+		r.startItem(ctx, now, order[i].Ref, items[order[i].Ref], pass)
 	}
 	r.checkpoint(now)
 	r.dropExpired(ctx, now)
--- a/services/jobhost/schedule.go
+++ b/services/jobhost/schedule.go
@@ -8,6 +8,7 @@
 
 	"banyanwalk/core/jobs"
 	"banyanwalk/core/placement"
+	"banyanwalk/core/streams"
 	"banyanwalk/services/targetcall"
 )
 
@@ -57,8 +58,8 @@
 
 // startItem starts an item at a target with a spare slot, if there is one. It
 // abandons an item whose maximum wait is over or whose route no longer exists, and
-// adds services without a spare slot to fullServices.
-func (r *runner) startItem(ctx context.Context, now time.Time, ref jobs.ItemRef, item runnableItem, fullServices map[string]bool) {
+// notes in pass what has no spare slot.
+func (r *runner) startItem(ctx context.Context, now time.Time, ref jobs.ItemRef, item runnableItem, pass *schedulePass) {
 	job := item.job
 	spec := &item.item
 	deadline := item.firstSeen.Add(time.Duration(job.MaxWaitMS)*time.Millisecond + maxWaitGrace)
@@ -77,7 +78,7 @@
 		return
 	}
 	serviceName := route.Pick(0)
-	if fullServices[serviceName] {
+	if pass.fullServices[serviceName] {
 		return
 	}
 	parts := r.trials.partsOf(job.Workspace, spec.Headers)
@@ -89,14 +90,12 @@
 		query.WarmupPerSecond = service.WarmupPerSecond
 	}
 	itemProgress := r.progressOf(ref, item.partial)
-	if !r.bindVersion(now, ref, itemProgress, &query) {
+	if !r.bindVersion(now, ref, itemProgress, &query, pass) {
 		return
 	}
 	target, _ := r.follower.Targets.Acquire(now, query)
 	if target == nil {
-		if query.Version == nil {
-			fullServices[serviceName] = true
-		}
+		pass.setFull(&query)
 		return
 	}
 	r.trials.started(now, ref, parts)
@@ -111,6 +110,47 @@
 	r.wg.Go(func() { started.execute(runCtx) })
 }
 
+// schedulePass holds what one pass over the runnable items has found out, so that the
+// next ones need not look again.
+type schedulePass struct {
+	fullServices map[string]bool         // without a spare slot at any target
+	fullVersions map[streams.Origin]bool // without one at the targets of a version
+	present      map[streams.Origin]bool // whether a target of the version takes requests
+	targets      map[string]bool         // whether any target of the service does
+}
+
+func newSchedulePass() *schedulePass {
+	return &schedulePass{fullServices: make(map[string]bool), fullVersions: make(map[streams.Origin]bool),
+		present: make(map[streams.Origin]bool), targets: make(map[string]bool)}
+}
+
+func (p *schedulePass) setFull(q *placement.Query) {
+	if q.Version == nil {
+		p.fullServices[q.Service] = true
+		return
+	}
+	p.fullVersions[streams.Origin{Service: q.Service, Version: *q.Version}] = true
+}
+
+func (p *schedulePass) isPresent(targets *placement.Targets, origin streams.Origin) bool {
+	present, known := p.present[origin]
+	if !known {
+		present = targets.HasVersion(origin.Service, origin.Version)
+		p.present[origin] = present
+	}
+	return present
+}
+
+func (p *schedulePass) hasTargets(targets *placement.Targets, service string) bool {
+	found, known := p.targets[service]
+	if !known {
+		_, _, count := targets.Free(service)
+		found = count > 0
+		p.targets[service] = found
+	}
+	return found
+}
+
 // progressOf returns the progress of an item that is not running. It is kept until the
 // item runs.
 func (r *runner) progressOf(ref jobs.ItemRef, logged jobs.Partial) *progress {
@@ -129,12 +169,18 @@
 // bindVersion restricts the targets of an item whose text has begun to those at which
 // it can go on, and reports whether it may run now. If there have been none for long, the
 // text starts again at any target.
-func (r *runner) bindVersion(now time.Time, ref jobs.ItemRef, p *progress, query *placement.Query) bool {
+func (r *runner) bindVersion(now time.Time, ref jobs.ItemRef, p *progress, query *placement.Query, pass *schedulePass) bool {
 	origin, begun := p.begunAt()
 	if !begun {
 		return true
 	}
-	present := origin.Service == query.Service && r.follower.Targets.HasVersion(origin.Service, origin.Version)
+	if pass.fullVersions[origin] {
+		return false
+	}
+	present := origin.Service == query.Service && pass.isPresent(r.follower.Targets, origin)
+	if !present && !pass.hasTargets(r.follower.Targets, query.Service) {
+		return false
+	}
 	if !p.mayGoOn(now, present) {
 		return false
 	}
