--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -5,6 +5,7 @@
 	"banyanwalk/core/jobs"
 	"banyanwalk/core/placement"
 	"banyanwalk/core/quarantine"
+	"banyanwalk/core/rollout"
 	"banyanwalk/core/roster"
 	"banyanwalk/core/streams"
 	"banyanwalk/infra/wire"
@@ -18,6 +19,8 @@
 	MethodReportRuns wire.Method = 102 // unary: RunsReport -> Ack, served by any control host
 	MethodBeginTrial wire.Method = 104 // unary: TrialRequest -> TrialGrant, served by any control host
 
+	MethodRolloutGrant wire.Method = 105 // unary: RolloutReport -> RolloutGrants, served by any control host
+
 	MethodJobSubmit  wire.Method = 110 // unary: jobs.Spec -> Ack
 	MethodJobRead    wire.Method = 111 // unary: JobRead -> JobResults
 	MethodJobBody    wire.Method = 112 // unary: JobBody -> JobBodyResponse
@@ -163,6 +166,28 @@
 	Crashes int  `msgpack:"c"` // of the subject that are known
 }
 
+// RolloutReport is one process's evidence on rollouts, and asks for requests that it may
+// send to the new versions.
+type RolloutReport struct {
+	Member      string             `msgpack:"m"`
+	Incarnation uint64             `msgpack:"p"` // of the process, with whose start the counts began
+	Evidence    []rollout.Evidence `msgpack:"e,omitempty"`
+	Wanted      []RolloutGrant     `msgpack:"w,omitempty"`
+}
+
+// RolloutGrant is a number of requests to the new version of a service.
+type RolloutGrant struct {
+	Service  string `msgpack:"s"`
+	Version  string `msgpack:"v"`
+	Requests int    `msgpack:"n"`
+	TTLMS    int64  `msgpack:"t,omitempty"` // milliseconds for which a grant may be spent
+}
+
+// RolloutGrants is the response to RolloutReport.
+type RolloutGrants struct {
+	Grants []RolloutGrant `msgpack:"g,omitempty"`
+}
+
 // Proposal is an encoded command for the leader of a group.
 type Proposal struct {
 	Group   uint32 `msgpack:"g"`
@@ -239,6 +264,10 @@
 	Exclude     []string `msgpack:"x,omitempty"`
 	IsRetry     bool     `msgpack:"r,omitempty"` // an earlier attempt of the caller was refused
 	IsSuspect   bool     `msgpack:"u,omitempty"` // the request may crash its target
+	Workspace   string   `msgpack:"w,omitempty"` // empty: none
+	Priority    int      `msgpack:"p,omitempty"` // of the workspace or else of the route; 0 is the highest
+	Tokens      int64    `msgpack:"t,omitempty"` // that the target may hold for the request; 0: unknown
+	ObjectiveMS int64    `msgpack:"o,omitempty"` // time until the first byte is late, milliseconds; negative: it is late
 
 	Stream  streams.Key `msgpack:"k,omitempty"` // of a stream that its caller may take up again later; else 0
 	Version *string     `msgpack:"v,omitempty"` // software version that the target must have; nil: any
--- a/services/targetcall/request.go
+++ b/services/targetcall/request.go
@@ -22,6 +22,8 @@
 	NotRun      string // in a response: the target did not run the request
 	Signature   string // in each response that the target itself produced
 	RateLimit   string // in a response: requests per second that the target takes from all processes together
+	Leaving     string // in a response: "1" says that the target leaves and wants no further requests
+	Load        string // in a response: running and waiting requests, slots and, from some targets, the pace, separated by commas
 	Key         string // API key of the caller, never passed on
 }
 
