Rollouts: record, evidence and decision

Operators need a new software version to take over a service without exposing its callers to a bad one. The record is part of the catalog; the decision is a pure function of the record, the evidence and the bounds. Not yet served by the control hosts.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -1,7 +1,7 @@
 // Package catalog is the replicated state machine of a site's control group. It
 // holds the routing document in force, the data centres that are out of
-// service, the hosts that store jobs and the verdicts on requests that crash
-// targets. It is deterministic and does no I/O.
+// service, the hosts that store jobs, the verdicts on requests that crash
+// targets and the rollouts of software versions. It is deterministic and does no I/O.
 package catalog
 
 import (
@@ -10,6 +10,7 @@
 
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/quarantine"
+	"banyanwalk/core/rollout"
 )
 
 // Command is one entry of the control group's log. Exactly one field is set.
@@ -21,6 +22,7 @@
 	Runs       *ReportRuns       `msgpack:"q,omitempty"`
 	Expire     *ExpireVerdicts   `msgpack:"e,omitempty"`
 	Trial      *BeginTrial       `msgpack:"y,omitempty"`
+	Rollout    *rollout.Command  `msgpack:"o,omitempty"`
 }
 
 // PutDocument puts a routing document in force if its version is higher than
@@ -94,6 +96,8 @@
 		return c.Expire.AtMS
 	case c.Trial != nil:
 		return c.Trial.AtMS
+	case c.Rollout != nil:
+		return c.Rollout.AtMS()
 	default:
 		return 0
 	}
@@ -115,6 +119,10 @@
 	DataCentresOut []string     `msgpack:"o"` // sorted
 	InitialHosts   []uint64     `msgpack:"f"` // initial replicas of the job group; empty: the group does not exist yet
 	Retired        []Retirement `msgpack:"t"`
+	// Rollouts holds the newest rollout of each service, sorted by service. Grants and
+	// counts, which change several times a second, don't change Revision: followers would
+	// get the whole catalog each time.
+	Rollouts []rollout.Rollout `msgpack:"w,omitempty"`
 }
 
 // IsOut reports whether a data centre is out of service.
@@ -134,6 +142,7 @@
 type Result struct {
 	Changed         bool           // the State has changed
 	VerdictsChanged bool           // the verdicts have changed
+	CountsChanged   bool           // grants or counts of a rollout have changed, and nothing else
 	TrialAllowed    bool           // result of BeginTrial
 	TrialCrashes    int            // known crashes of its subject
 	Error           *outcome.Error // set if the command was rejected
@@ -190,6 +199,8 @@
 	result := next.execute(c)
 	if result.Changed {
 		next.Revision = index
+	}
+	if result.Changed || result.CountsChanged {
 		m.state = &next
 	}
 	return result
@@ -221,6 +232,8 @@
 		return s.bootstrapStorage(c.Bootstrap)
 	case c.Retire != nil:
 		return s.retire(c.Retire)
+	case c.Rollout != nil:
+		return s.changeRollout(c.Rollout)
 	default:
 		return Result{Error: outcome.New(outcome.Internal, outcome.NotRun, "empty command")}
 	}
@@ -281,3 +294,12 @@
 	s.Retired = retired
 	return Result{Changed: true}
 }
+
+func (s *State) changeRollout(c *rollout.Command) Result {
+	next, change, err := rollout.Apply(s.Rollouts, c)
+	if err != nil {
+		return Result{Error: err}
+	}
+	s.Rollouts = next
+	return Result{Changed: change == rollout.PhaseChange, CountsChanged: change == rollout.CountsChange}
+}
--- a/core/outcome/codes.go
+++ b/core/outcome/codes.go
@@ -51,6 +51,8 @@
 	BundleOutdated      Code = 503
 	OperatorUnknown     Code = 504
 	UnknownName         Code = 505
+	RolloutActive       Code = 506
+	RolloutUnbounded    Code = 507
 	Internal            Code = 900
 	Draining            Code = 901
 	NotLeader           Code = 902
--- a/core/outcome/table.go
+++ b/core/outcome/table.go
@@ -47,6 +47,8 @@
 	{BundleOutdated, "bundle_outdated", 409, "A higher version is in force.", "Take a version above the one in force."},
 	{OperatorUnknown, "operator_unknown", 401, "The operator token is not known.", "Check BANYAN_OPERATOR_TOKEN."},
 	{UnknownName, "unknown_name", 404, "No data centre, target or other object has this name.", "Check the name with banyanctl status."},
+	{RolloutActive, "rollout_active", 409, "Another rollout of the service is active.", "Wait until it is completed or reverted; read it with banyanctl rollouts show."},
+	{RolloutUnbounded, "rollout_unbounded", 400, "The settings of the control host hold no bounds for rollouts.", "Set exposure_share, exposure_slack and rollback_ms in the settings file and restart the control hosts."},
 	{Internal, "internal", 500, "An unexpected fault.", "Report it with the request id."},
 	{Draining, "draining", 503, "This process is shutting down and takes no new work.", "Retry elsewhere at once."},
 	{NotLeader, "not_leader", 503, "This replica is not the leader.", "Retried on the leader automatically."},
--- /dev/null
+++ b/core/rollout/cusum.go
@@ -0,0 +1,83 @@
+package rollout
+
+import "math"
+
+// The sequential test is Page's CUSUM: Wald's sequential probability ratio test of the
+// old version's share of bad responses against a clearly higher one, restarted whenever
+// it favours the old share. It may be looked at after each response, and a version that
+// turns bad late is found as fast as one that is bad at once.
+const (
+	// alarmLevel is the log-likelihood ratio at which the new version counts as bad. A
+	// sound version reaches it once in more than e^11.5, which is 100,000, responses.
+	alarmLevel = 11.5
+	// doubtLevel is the ratio above which a rollout does not go on to the next phase.
+	doubtLevel = 0.6 * alarmLevel
+	// burstLevel is the most that the responses of one interval add. Responses that fail
+	// together may have one cause, such as the loss of a machine.
+	burstLevel = 0.45 * alarmLevel
+	// soundLevel is the ratio of the whole evidence at which the new version counts as
+	// sound; Wald's lower bound for an error of 0.02.
+	soundLevel = -3.9
+
+	// leastDifference and relativeDifference separate a bad version's share of bad
+	// responses from the old version's share p: p + max(0.15, p).
+	leastDifference    = 0.15
+	relativeDifference = 1.0
+	largestShare       = 0.95
+	// leastShare is the least share of bad responses that the old version is taken to have,
+	// so that two bad ones in thousands are no proof.
+	leastShare = 0.01
+	// The old version's share is estimated as if it had had half a bad response in 50
+	// before, so that it is never zero.
+	priorAnswers = 50
+	priorBad     = 0.5
+	// routePriorAnswers is the weight of the share over all routes in that of one route.
+	routePriorAnswers = 20
+	// minOldAnswers is how many responses of the old version are needed for a comparison.
+	minOldAnswers = 20
+	// recentMS is the time constant of the old version's recent share. The share at the
+	// same time counts, because it differs with the load.
+	recentMS = 3000
+)
+
+// tally is a number of responses and the bad ones among them.
+type tally struct{ answers, bad float64 }
+
+func (t tally) share(prior tally) float64 { return (t.bad + prior.bad) / (t.answers + prior.answers) }
+
+// ratio returns the log-likelihood ratio of the responses: positive if they speak for a
+// version that is worse than one with the share p.
+func (t tally) ratio(p float64) float64 {
+	p = math.Max(p, leastShare)
+	worse := math.Min(largestShare, p+math.Max(leastDifference, relativeDifference*p))
+	if worse <= p {
+		return 0
+	}
+	return t.bad*math.Log(worse/p) + (t.answers-t.bad)*math.Log((1-worse)/(1-p))
+}
+
+// cusum compares the new version with the old one by one kind of bad response.
+type cusum struct {
+	level    float64 // statistic of the test, never negative
+	recent   tally   // of the old version, decaying
+	peak     float64 // largest recent share of the old version
+	expected float64 // share of bad responses of the old version
+}
+
+// observe adds the responses of one interval. old and added are those of the interval,
+// oldTotal all of the old version. The first interval of a leader holds evidence of a
+// longer time and is not limited to burstLevel.
+func (c cusum) observe(elapsedMS int64, oldTotal, old, added, prior tally, first bool) cusum {
+	if old.answers > 0 {
+		keep := math.Exp(-float64(elapsedMS) / recentMS)
+		c.recent = tally{c.recent.answers*keep + old.answers, c.recent.bad*keep + old.bad}
+		c.peak = math.Max(c.peak, c.recent.share(prior))
+	}
+	c.expected = math.Max(oldTotal.share(prior), c.recent.share(prior))
+	change := added.ratio(c.expected)
+	if !first {
+		change = math.Min(change, burstLevel)
+	}
+	c.level = math.Max(0, c.level+change)
+	return c
+}
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -47,6 +47,8 @@
 	Requests   uint64 `msgpack:"n"`           // of the service since the start, as reported so far
 	Bad        uint64 `msgpack:"b"`           // failed or slow responses of the new version
 	Reason     string `msgpack:"r,omitempty"` // why the phase was entered, for operators
+	Old        Counts `msgpack:"o,omitempty"` // responses of the other versions since the start, as reported so far
+	Again      bool   `msgpack:"e,omitempty"` // the service had a rollout before, so processes may have counted responses of the version already
 }
 
 // Answer is how one request at a target ended.
