--- a/cmd/banyan-site-control/main.go
+++ b/cmd/banyan-site-control/main.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"banyanwalk/cmd/internal/site"
+	"banyanwalk/core/rollout"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/platform"
 	"banyanwalk/services/director"
@@ -66,6 +67,7 @@
 		ConfirmEvery: p.Settings.RefuseStaleAfter / confirmationsPerStaleLimit,
 		Decode:       site.DecodeDocument,
 		Health:       platform.HealthHeaders(),
+		Rollout:      rollout.Bounds{Share: p.Settings.Rollout.Share, Slack: p.Settings.Rollout.Slack, RollbackDelay: p.Settings.Rollout.RollbackDelay},
 		Log:          p.Log,
 		Metrics:      p.Metrics,
 	})
--- a/core/rollout/cusum.go
+++ b/core/rollout/cusum.go
@@ -37,7 +37,9 @@
 	minOldAnswers = 20
 	// recentMS is the time constant of the old version's recent share. The share at the
 	// same time counts, because it differs with the load.
-	recentMS = 3000
+	recentMS = 1000
+	// recentPriorAnswers is the weight of the share since the start in the recent one.
+	recentPriorAnswers = 20
 )
 
 // tally is a number of responses and the bad ones among them.
@@ -64,18 +66,32 @@
 	expected float64 // share of bad responses of the old version
 }
 
-// observe adds the responses of one interval. old and added are those of the interval,
-// oldTotal all of the old version. The first interval of a leader holds evidence of a
-// longer time and is not limited to burstLevel.
-func (c cusum) observe(elapsedMS int64, oldTotal, old, added, prior tally, first bool) cusum {
-	if old.answers > 0 {
-		keep := math.Exp(-float64(elapsedMS) / recentMS)
-		c.recent = tally{c.recent.answers*keep + old.answers, c.recent.bad*keep + old.bad}
-		c.peak = math.Max(c.peak, c.recent.share(prior))
+// interval holds the responses since the previous decision.
+type interval struct {
+	elapsedMS  int64
+	oldTotal   tally // of the old version, since the start
+	old, added tally // of the old and of the new version, in the interval
+	prior      tally
+	first      bool // of this leader: it covers a longer time, and burstLevel does not hold
+	alone      bool // the old version gets no more requests
+}
+
+// observe adds the responses of one interval. The old version's share is its share at the
+// same time, but not below that since the start. Once it gets no more requests, its
+// largest share counts, since the load may be at a peak.
+func (c cusum) observe(i interval) cusum {
+	usual := i.oldTotal.share(i.prior)
+	recentPrior := tally{recentPriorAnswers, recentPriorAnswers * usual}
+	keep := math.Exp(-float64(i.elapsedMS) / recentMS)
+	c.recent = tally{c.recent.answers*keep + i.old.answers, c.recent.bad*keep + i.old.bad}
+	share := c.recent.share(recentPrior)
+	c.peak = math.Max(c.peak, share)
+	c.expected = math.Max(usual, math.Max(share, i.old.share(recentPrior)))
+	if i.alone {
+		c.expected = math.Max(c.expected, c.peak)
 	}
-	c.expected = math.Max(oldTotal.share(prior), c.recent.share(prior))
-	change := added.ratio(c.expected)
-	if !first {
+	change := i.added.ratio(c.expected)
+	if !i.first {
 		change = math.Min(change, burstLevel)
 	}
 	c.level = math.Max(0, c.level+change)
--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -83,10 +83,15 @@
 
 // Observed is what the leader knows of the service besides the record.
 type Observed struct {
+	Targets
 	Sum         Sum
 	LedgerAgeMS int64 // time for which this leader has gathered evidence
-	NewTargets  int   // ready targets of the new version
-	OldTargets  int   // targets of other versions in any state
+}
+
+// Targets describes the targets of a service during a rollout.
+type Targets struct {
+	NewTargets  int // ready targets of the new version
+	OldTargets  int // targets of other versions in any state
 	NewSlots    int
 	OldSlots    int
 	InFlight    int // requests at all targets of the service
@@ -207,9 +212,9 @@
 	if o.Sum.Old.Answers < minOldAnswers {
 		return m // the responses of the new version are compared later
 	}
-	warm := !m.warmingUp(nowMS, r)
+	step := routeStep{elapsedMS: elapsed, warm: !m.warmingUp(nowMS, r), alone: r.Phase == Finishing}
 	prior := tally{priorAnswers, priorBad}
-	m.All = m.All.observe(elapsed, o.Sum.Old, o.Sum.New, prior, prior, warm)
+	m.All = m.All.observe(step, o.Sum.Old, o.Sum.New, prior, prior)
 	routes := maps.Clone(m.Routes)
 	if routes == nil {
 		routes = make(map[string]RouteMemory)
@@ -217,19 +222,28 @@
 	for name, sum := range o.Sum.Routes {
 		failures := tally{routePriorAnswers, routePriorAnswers * m.All.failures.expected}
 		slow := tally{routePriorAnswers, routePriorAnswers * m.All.slow.expected}
-		routes[name] = routes[name].observe(elapsed, sum.Old, sum.New, failures, slow, warm)
+		routes[name] = routes[name].observe(step, sum.Old, sum.New, failures, slow)
 	}
 	m.Routes = routes
 	return m
 }
 
-func (m RouteMemory) observe(elapsed int64, oldSum, newSum Counts, failurePrior, slowPrior tally, warm bool) RouteMemory {
+// routeStep is what all routes have in common in one call of Decide.
+type routeStep struct {
+	elapsedMS   int64
+	warm, alone bool
+}
+
+func (m RouteMemory) observe(step routeStep, oldSum, newSum Counts, failurePrior, slowPrior tally) RouteMemory {
 	old, added := oldSum.since(m.old), newSum.since(m.new)
 	failed := func(c Counts) tally { return tally{float64(c.Answers), float64(c.Failed)} }
 	slow := func(c Counts) tally { return tally{float64(c.Answers), float64(c.Slow)} }
-	m.failures = m.failures.observe(elapsed, failed(oldSum), failed(old), failed(added), failurePrior, !m.started)
-	m.slow = m.slow.observe(elapsed, slow(oldSum), slow(old), slow(added), slowPrior, !m.started)
-	if !warm {
+	i := interval{elapsedMS: step.elapsedMS, first: !m.started, alone: step.alone}
+	i.oldTotal, i.old, i.added, i.prior = failed(oldSum), failed(old), failed(added), failurePrior
+	m.failures = m.failures.observe(i)
+	i.oldTotal, i.old, i.added, i.prior = slow(oldSum), slow(old), slow(added), slowPrior
+	m.slow = m.slow.observe(i)
+	if !step.warm {
 		m.slow.level = math.Min(m.slow.level, doubtLevel)
 	}
 	m.started = true
--- a/core/rollout/record.go
+++ b/core/rollout/record.go
@@ -60,13 +60,13 @@
 	InForce    bool   `msgpack:"i,omitempty"` // all targets of the service run the version
 }
 
-// Grant logs requests that the leader may hand out from now on, or returns some that
-// expired unspent.
+// Grant logs requests that the leader may hand out from now on.
 type Grant struct {
 	AtMS      int64  `msgpack:"t"`
 	Service   string `msgpack:"s"`
 	StartedMS int64  `msgpack:"a"` // of the rollout that it belongs to
-	Requests  int64  `msgpack:"n"` // negative: returned
+	Requests  uint64 `msgpack:"n"` // 0: only the totals are logged
+	Limit     uint64 `msgpack:"l"` // of all requests granted, by the evidence of the proposer
 	Totals    Totals `msgpack:"c"`
 }
 
@@ -163,18 +163,19 @@
 	return changed, PhaseChange, nil
 }
 
+// grant counts granted requests. Entries that would exceed their limit have no effect,
+// so that no two leaders grant the same room.
 func grant(all []Rollout, g *Grant) ([]Rollout, Change) {
 	at, found := search(all, g.Service)
-	if !found || all[at].StartedMS != g.StartedMS || all[at].Phase != Canary || g.Requests == 0 {
+	if !found || all[at].StartedMS != g.StartedMS || all[at].Phase.Final() || g.Requests > 0 && all[at].Phase != Canary {
+		return all, Unchanged
+	}
+	if g.Requests > 0 && (all[at].Granted > g.Limit || g.Requests > g.Limit-all[at].Granted) {
 		return all, Unchanged
 	}
 	changed := slices.Clone(all)
 	r := &changed[at]
-	if g.Requests > 0 {
-		r.Granted += uint64(g.Requests)
-	} else {
-		r.Granted -= min(r.Granted, uint64(-g.Requests))
-	}
+	r.Granted += g.Requests
 	r.include(g.Totals)
 	return changed, CountsChange
 }
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -20,6 +20,8 @@
 	MethodBeginTrial wire.Method = 104 // unary: TrialRequest -> TrialGrant, served by any control host
 
 	MethodRolloutGrant wire.Method = 105 // unary: RolloutReport -> RolloutGrants, served by any control host
+	MethodRolloutBegin wire.Method = 106 // unary: RolloutBegin -> Ack, served by any control host
+	MethodRolloutShow  wire.Method = 107 // unary: RolloutShow -> RolloutStatus, served by any control host
 
 	MethodJobSubmit  wire.Method = 110 // unary: jobs.Spec -> Ack
 	MethodJobRead    wire.Method = 111 // unary: JobRead -> JobResults
@@ -173,9 +175,11 @@
 	Incarnation uint64             `msgpack:"p"` // of the process, with whose start the counts began
 	Evidence    []rollout.Evidence `msgpack:"e,omitempty"`
 	Wanted      []RolloutGrant     `msgpack:"w,omitempty"`
+	Forwarded   bool               `msgpack:"f,omitempty"` // by another control host, which took the receiver for the leader
 }
 
-// RolloutGrant is a number of requests to the new version of a service.
+// RolloutGrant is a number of requests to the new version of a service. A grant of no
+// requests says that the rollout is in rollout.Finishing, for TTLMS.
 type RolloutGrant struct {
 	Service  string `msgpack:"s"`
 	Version  string `msgpack:"v"`
@@ -188,6 +192,38 @@
 	Grants []RolloutGrant `msgpack:"g,omitempty"`
 }
 
+// RolloutBegin orders a rollout.
+type RolloutBegin struct {
+	Service    string `msgpack:"s"`
+	Version    string `msgpack:"v"`
+	DurationMS int64  `msgpack:"d"`
+}
+
+// RolloutShow asks for the newest rollout of a service.
+type RolloutShow struct {
+	Service   string `msgpack:"s"`
+	Forwarded bool   `msgpack:"f,omitempty"` // see RolloutReport
+}
+
+// RolloutStatus is the leader's view of a rollout, for operators.
+type RolloutStatus struct {
+	Rollout rollout.Rollout `msgpack:"r" json:"rollout"`
+	Phase   string          `msgpack:"p" json:"phase"`
+	LeftMS  int64           `msgpack:"l" json:"left_ms"`    // until the time limit; 0 if it has ended
+	Allowed uint64          `msgpack:"a" json:"allowed"`    // requests that may have been granted to the new version
+	Reached uint64          `msgpack:"n" json:"reached"`    // requests that provably reached the service since the start
+	Why     string          `msgpack:"w" json:"why"`        // it stands where it does
+	Routes  []RolloutRoute  `msgpack:"o" json:"routes"`     // sorted; none once the rollout has ended
+	All     RolloutRoute    `msgpack:"t" json:"all_routes"` // their sum
+}
+
+// RolloutRoute holds the responses on one route since the start of a rollout.
+type RolloutRoute struct {
+	Route string         `msgpack:"r" json:"route"`
+	New   rollout.Counts `msgpack:"n" json:"new"` // of the new version
+	Old   rollout.Counts `msgpack:"o" json:"old"` // of the other versions
+}
+
 // Proposal is an encoded command for the leader of a group.
 type Proposal struct {
 	Group   uint32 `msgpack:"g"`
--- a/services/director/director.go
+++ b/services/director/director.go
@@ -18,6 +18,7 @@
 
 	"banyanwalk/core/catalog"
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/rollout"
 	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
 	"banyanwalk/infra/boottime"
@@ -61,7 +62,8 @@
 	ConfirmEvery time.Duration
 	// Decode decodes the canonical encoding of a document.
 	Decode    func(body []byte) (*routing.Document, error)
-	Health    HealthHeaders // empty: targets are not asked about their health
+	Health    HealthHeaders  // empty: targets are not asked about their health
+	Rollout   rollout.Bounds // without them, no rollout is accepted
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
 	Log       *telemetry.Log
@@ -78,6 +80,7 @@
 	registry       *registry
 	reportCounters map[roster.MergeResult]metrics.Counter
 	bootstrap      bootstrapState
+	rollouts       *rollouts
 	targetFile     *targetFile
 	startedAt      time.Time
 	// confirmed is the boottime instant at which the last quorum-confirmed read
@@ -93,6 +96,7 @@
 		log:       cfg.Log,
 		wire:      wire.NewServer(cfg.Log, cfg.ServerTLS),
 		registry:  newRegistry(),
+		rollouts:  newRollouts(&cfg),
 		startedAt: time.Now(),
 		reportCounters: map[roster.MergeResult]metrics.Counter{
 			roster.Stale:   metrics.GetOrRegisterCounter("director.reports.stale", cfg.Metrics),
@@ -133,6 +137,9 @@
 	wire.HandleUnary(s.wire, rpc.MethodSiteStatus, s.siteStatus)
 	wire.HandleUnary(s.wire, rpc.MethodReportRuns, s.reportRuns)
 	wire.HandleUnary(s.wire, rpc.MethodBeginTrial, s.beginTrial)
+	wire.HandleUnary(s.wire, rpc.MethodRolloutGrant, s.grantRollouts)
+	wire.HandleUnary(s.wire, rpc.MethodRolloutBegin, s.beginRollout)
+	wire.HandleUnary(s.wire, rpc.MethodRolloutShow, s.showRollout)
 	return s, nil
 }
 
@@ -149,6 +156,10 @@
 		s.recallTargets(ctx)
 		return nil
 	})
+	p.Go(func() error {
+		s.runRollouts(ctx)
+		return nil
+	})
 	return p.Wait()
 }
 
--- /dev/null
+++ b/services/director/rollouts.go
@@ -0,0 +1,426 @@
+package director
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"banyanwalk/core/catalog"
+	"banyanwalk/core/outcome"
+	"banyanwalk/core/rollout"
+	"banyanwalk/core/roster"
+	"banyanwalk/infra/boottime"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
+	"banyanwalk/services/replicated"
+)
+
+const (
+	// rolloutInterval is the time between two decisions on a rollout.
+	rolloutInterval = 200 * time.Millisecond
+	// leadershipLimit is how long after a confirmation by a quorum a leader hands out
+	// requests. Another leader may have reverted the rollout by then; with the time for
+	// which grants may be spent it stays below the rollback delay.
+	leadershipLimit = 1 * time.Second
+	// versionsSettled is the uptime after which this host has heard from all targets.
+	versionsSettled = 6 * time.Second
+)
+
+// rollouts is what the leader keeps of the active rollouts besides the log.
+type rollouts struct {
+	conns  *wire.Pool // to the leader
+	bounds rollout.Bounds
+	// confirmed is the boottime instant at which the last read began by which a quorum
+	// confirmed that this host leads; 0: never.
+	confirmed atomic.Int64
+	metrics   metrics.Registry
+	logging   sync.Mutex // held while grants are logged; taken before mu
+
+	mu        sync.Mutex
+	byService map[string]*rollout.Leader
+}
+
+func newRollouts(cfg *Config) *rollouts {
+	return &rollouts{conns: wire.NewPool(cfg.ClientTLS), metrics: cfg.Metrics, bounds: cfg.Rollout, byService: make(map[string]*rollout.Leader)}
+}
+
+func (r *rollouts) count(name string, n int64) {
+	metrics.GetOrRegisterCounter("director.rollouts."+name, r.metrics).Inc(n)
+}
+
+// get returns the state of an active rollout. The caller holds the lock.
+func (r *rollouts) get(nowMS int64, record *rollout.Rollout) *rollout.Leader {
+	state := r.byService[record.Service]
+	if state == nil || !state.Serves(record) {
+		state = rollout.NewLeader(nowMS, *record, r.bounds)
+		r.byService[record.Service] = state
+	}
+	return state
+}
+
+// BeginRollout starts to move the requests of a service to a software version of its
+// targets.
+func (s *Server) BeginRollout(ctx context.Context, service, version string, duration time.Duration) error {
+	err := s.logBegin(ctx, service, version, duration)
+	s.log.Info("rollout_ordered", "service", service, "version", version, "duration_ms", duration.Milliseconds(), "error", err)
+	if err != nil {
+		s.rollouts.count("refused", 1)
+	}
+	return err
+}
+
+func (s *Server) logBegin(ctx context.Context, service, version string, duration time.Duration) error {
+	if !s.cfg.Rollout.Set() {
+		return outcome.New(outcome.RolloutUnbounded, outcome.NotRun, "the settings lack exposure_share or rollback_ms")
+	}
+	bounded, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	if err := s.group.ReadBarrier(bounded); err != nil {
+		return err
+	}
+	seen := s.registry.versions(service, version)
+	if _, found := rollout.Find(s.state.state().Rollouts, service); !found && seen.known == 0 && !s.isInDocument(service) {
+		if time.Since(s.startedAt) < memberTimeout && s.state.state().Version == 0 {
+			return outcome.New(outcome.NoQuorum, outcome.NotRun, "this host does not know the targets yet")
+		}
+		return outcome.New(outcome.UnknownName, outcome.NotRun, "service %s is unknown", service)
+	}
+	inForce := seen.NewTargets > 0 && seen.OldTargets == 0 && time.Since(s.startedAt) >= versionsSettled
+	_, err := s.executeResult(bounded, catalog.Command{Rollout: &rollout.Command{Begin: &rollout.Begin{AtMS: s.state.clock.NowMS(), Service: service,
+		Version: version, DurationMS: duration.Milliseconds(), InForce: inForce}}})
+	return err
+}
+
+func (s *Server) isInDocument(service string) bool {
+	state := s.state.state()
+	if state.Version == 0 {
+		return false
+	}
+	document, err := s.cfg.Decode(state.Body)
+	if err != nil {
+		return false
+	}
+	for i := range document.Services {
+		if document.Services[i].Name == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Rollout returns the newest rollout of a service. It fails if this host cannot confirm
+// that it knows all that was acknowledged.
+func (s *Server) Rollout(ctx context.Context, service string) (rollout.Rollout, error) {
+	bounded, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	if err := s.group.ReadBarrier(bounded); err != nil {
+		return rollout.Rollout{}, err
+	}
+	record, found := rollout.Find(s.state.state().Rollouts, service)
+	if !found {
+		return rollout.Rollout{}, outcome.New(outcome.UnknownName, outcome.NotRun, "service %s has had no rollout", service)
+	}
+	return record, nil
+}
+
+func (s *Server) beginRollout(ctx context.Context, b *rpc.RolloutBegin) (*rpc.Ack, error) {
+	if b.Service == "" || b.Version == "" || b.DurationMS <= 0 {
+		return nil, outcome.New(outcome.BadRequest, outcome.NotRun, "a rollout needs a service, a version and a duration")
+	}
+	if err := s.BeginRollout(ctx, b.Service, b.Version, time.Duration(b.DurationMS)*time.Millisecond); err != nil {
+		return nil, err
+	}
+	return &rpc.Ack{}, nil
+}
+
+// leaderAddr returns the address to which a request for the leader is forwarded, or an
+// empty string if this host is the leader.
+func (s *Server) leaderAddr(forwarded bool) (string, error) {
+	status := s.group.Replica().Status()
+	if status.IsLeader {
+		return "", nil
+	}
+	addr, found := replicated.Addr(status.Leader)
+	if !found || forwarded || status.Leader == s.group.ID() {
+		return "", outcome.New(outcome.NotLeader, outcome.NotRun, "this host does not lead the control group")
+	}
+	return addr, nil
+}
+
+// grantRollouts takes a process's evidence on the active rollouts and hands out requests
+// to the new versions.
+func (s *Server) grantRollouts(ctx context.Context, report *rpc.RolloutReport) (*rpc.RolloutGrants, error) {
+	bounded, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	addr, err := s.leaderAddr(report.Forwarded)
+	if err != nil {
+		return nil, err
+	}
+	grants := &rpc.RolloutGrants{}
+	if addr != "" {
+		forwarded := *report
+		forwarded.Forwarded = true
+		return grants, s.rollouts.conns.Call(bounded, addr, rpc.MethodRolloutGrant, &forwarded, grants)
+	}
+	if !s.hasActiveRollout() {
+		return grants, nil
+	}
+	if !s.leadsForCertain() {
+		return nil, outcome.New(outcome.NoQuorum, outcome.NotRun, "no quorum has confirmed the leader of the control group")
+	}
+	nowMS := s.state.clock.NowMS()
+	ttl := s.cfg.Rollout.GrantTTL()
+	for _, record := range s.state.state().Rollouts {
+		if record.Phase.Final() {
+			continue
+		}
+		s.takeEvidence(nowMS, &record, report)
+		if record.Phase == rollout.Finishing {
+			grants.Grants = append(grants.Grants, rpc.RolloutGrant{Service: record.Service, Version: record.Version, TTLMS: ttl.Milliseconds()})
+			continue
+		}
+		for _, wanted := range report.Wanted {
+			if wanted.Service != record.Service || wanted.Version != record.Version || wanted.Requests <= 0 {
+				continue
+			}
+			n, err := s.handOut(bounded, record.Service, report.Incarnation, wanted.Requests)
+			if err != nil {
+				return nil, err
+			}
+			if n > 0 {
+				grants.Grants = append(grants.Grants, rpc.RolloutGrant{Service: record.Service, Version: record.Version, Requests: n, TTLMS: ttl.Milliseconds()})
+			}
+		}
+	}
+	return grants, nil
+}
+
+func (s *Server) takeEvidence(nowMS int64, record *rollout.Rollout, report *rpc.RolloutReport) {
+	s.rollouts.mu.Lock()
+	defer s.rollouts.mu.Unlock()
+	s.rollouts.get(nowMS, record).Report(nowMS, report.Incarnation, report.Evidence)
+}
+
+// handOut gives a process requests to the new version. They are in the log before that.
+func (s *Server) handOut(ctx context.Context, service string, incarnation uint64, wanted int) (int, error) {
+	s.rollouts.logging.Lock()
+	defer s.rollouts.logging.Unlock()
+	if err := s.logGrants(ctx, service, uint64(wanted)); err != nil {
+		return 0, err
+	}
+	record, found := rollout.Find(s.state.state().Rollouts, service)
+	if !found || record.Phase.Final() || !s.leadsForCertain() {
+		return 0, nil
+	}
+	s.rollouts.mu.Lock()
+	defer s.rollouts.mu.Unlock()
+	nowMS := s.state.clock.NowMS()
+	n := s.rollouts.get(nowMS, &record).Take(nowMS, record, incarnation, wanted)
+	s.rollouts.count("granted", int64(n))
+	return n, nil
+}
+
+// logGrants logs further grants if the pool does not hold the wanted number.
+func (s *Server) logGrants(ctx context.Context, service string, wanted uint64) error {
+	record, found := rollout.Find(s.state.state().Rollouts, service)
+	if !found || record.Phase.Final() {
+		return nil
+	}
+	nowMS := s.state.clock.NowMS()
+	s.rollouts.mu.Lock()
+	state := s.rollouts.get(nowMS, &record)
+	command := state.Reserve(nowMS, record, wanted)
+	s.rollouts.mu.Unlock()
+	if command == nil {
+		return nil
+	}
+	result, err := s.executeResult(ctx, catalog.Command{Rollout: &rollout.Command{Grant: command}})
+	if err != nil || !result.CountsChanged {
+		return err
+	}
+	s.rollouts.mu.Lock()
+	defer s.rollouts.mu.Unlock()
+	if s.rollouts.byService[service] == state {
+		state.Reserved(command)
+	}
+	return nil
+}
+
+// runRollouts decides on the active rollouts while this host is the leader.
+func (s *Server) runRollouts(ctx context.Context) {
+	defer s.rollouts.conns.Close()
+	ticker := time.NewTicker(rolloutInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.decideRollouts(ctx)
+		}
+	}
+}
+
+// forgetAll drops the state of all rollouts, which the log or another leader now holds.
+func (r *rollouts) forgetAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.byService)
+	r.confirmed.Store(0)
+	metrics.GetOrRegisterGauge("director.rollouts.active", r.metrics).Update(0)
+}
+
+func (s *Server) hasActiveRollout() bool {
+	return slices.ContainsFunc(s.state.state().Rollouts, func(r rollout.Rollout) bool { return !r.Phase.Final() })
+}
+
+// confirmLeadership asks a quorum whether this host still leads.
+func (s *Server) confirmLeadership(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	start := boottime.Now()
+	if s.group.ReadBarrier(bounded) == nil && s.group.Replica().Status().IsLeader {
+		s.rollouts.confirmed.Store(int64(start))
+	}
+}
+
+// leadsForCertain reports whether a quorum has confirmed this host as the leader of late.
+func (s *Server) leadsForCertain() bool {
+	at := s.rollouts.confirmed.Load()
+	return at != 0 && boottime.Since(boottime.Instant(at)) <= leadershipLimit
+}
+
+func (s *Server) decideRollouts(ctx context.Context) {
+	if !s.group.Replica().Status().IsLeader {
+		s.rollouts.forgetAll()
+		return
+	}
+	if !s.hasActiveRollout() {
+		s.rollouts.forgetAll()
+		return
+	}
+	s.confirmLeadership(ctx)
+	active := int64(0)
+	for _, record := range s.state.state().Rollouts {
+		if record.Phase.Final() {
+			s.rollouts.mu.Lock()
+			delete(s.rollouts.byService, record.Service)
+			s.rollouts.mu.Unlock()
+			continue
+		}
+		active++
+		s.decideRollout(ctx, &record)
+	}
+	metrics.GetOrRegisterGauge("director.rollouts.active", s.rollouts.metrics).Update(active)
+}
+
+func (s *Server) decideRollout(ctx context.Context, record *rollout.Rollout) {
+	nowMS := s.state.clock.NowMS()
+	seen := s.registry.versions(record.Service, record.Version)
+	if time.Since(s.startedAt) < versionsSettled {
+		seen.OldTargets = max(1, seen.OldTargets) // not all targets may have reported
+	}
+	s.rollouts.mu.Lock()
+	state := s.rollouts.get(nowMS, record)
+	before := state.Decision().Why
+	decision, sum := state.Decide(nowMS, *record, seen.Targets), state.Sum()
+	var command *rollout.Command
+	if decision.Advance != nil {
+		command = &rollout.Command{Advance: decision.Advance}
+	} else if totals := state.TotalsDue(nowMS, *record); totals != nil {
+		command = &rollout.Command{Grant: totals}
+	}
+	s.rollouts.mu.Unlock()
+	if decision.Why != before {
+		s.log.Info("rollout_stands", "service", record.Service, "version", record.Version, "phase", record.Phase.String(), "reason", decision.Why)
+	}
+	if command == nil {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	result, err := s.executeResult(bounded, catalog.Command{Rollout: command})
+	if decision.Advance == nil {
+		return
+	}
+	if err == nil && result.Changed {
+		s.rollouts.count(decision.Advance.Phase.String(), 1)
+	}
+	s.log.Info("rollout_advanced", "service", record.Service, "version", record.Version, "phase", decision.Advance.Phase.String(),
+		"reason", decision.Advance.Reason, "granted", record.Granted, "allowed", decision.Allowed, "reached", sum.Requests,
+		"responses", sum.New.Answers, "failed", sum.New.Failed, "slow", sum.New.Slow, "error", err)
+}
+
+// showRollout returns the leader's view of the newest rollout of a service.
+func (s *Server) showRollout(ctx context.Context, r *rpc.RolloutShow) (*rpc.RolloutStatus, error) {
+	addr, err := s.leaderAddr(r.Forwarded)
+	if err != nil {
+		return nil, err
+	}
+	if addr != "" {
+		bounded, cancel := context.WithTimeout(ctx, commandTimeout)
+		defer cancel()
+		status := &rpc.RolloutStatus{}
+		return status, s.rollouts.conns.Call(bounded, addr, rpc.MethodRolloutShow, &rpc.RolloutShow{Service: r.Service, Forwarded: true}, status)
+	}
+	record, err := s.Rollout(ctx, r.Service)
+	if err != nil {
+		return nil, err
+	}
+	status := &rpc.RolloutStatus{Rollout: record, Phase: record.Phase.String(), Reached: record.Requests, Why: record.Reason}
+	if record.Phase.Final() {
+		return status, nil
+	}
+	nowMS := s.state.clock.NowMS()
+	s.rollouts.mu.Lock()
+	defer s.rollouts.mu.Unlock()
+	state := s.rollouts.get(nowMS, &record)
+	sum := state.Sum()
+	status.LeftMS = max(0, record.StartedMS+record.DurationMS-nowMS)
+	status.Allowed, status.Reached, status.Why = state.Decision().Allowed, max(sum.Requests, record.Requests), state.Decision().Why
+	status.All = rpc.RolloutRoute{New: sum.New, Old: sum.Old}
+	for _, name := range slices.Sorted(maps.Keys(sum.Routes)) {
+		status.Routes = append(status.Routes, rpc.RolloutRoute{Route: name, New: sum.Routes[name].New, Old: sum.Routes[name].Old})
+	}
+	return status, nil
+}
+
+// versionsSeen describes the targets of a service by version.
+type versionsSeen struct {
+	rollout.Targets
+	known int // targets that have not gone
+}
+
+// versions describes the targets of a service by version.
+func (r *registry) versions(service, version string) versionsSeen {
+	loads := r.sumPeerLoads(time.Now(), "").Loads
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var seen versionsSeen
+	for _, record := range r.roster.All() {
+		if record.Service != service || record.State == roster.Gone {
+			continue
+		}
+		seen.known++
+		ready, slots := 0, 0
+		if record.State == roster.Ready {
+			ready, slots = 1, record.Slots
+		}
+		requests := loads[record.ID].Online + loads[record.ID].Batch
+		seen.InFlight += requests
+		if record.Version == version {
+			seen.NewTargets += ready
+			seen.NewSlots += slots
+			continue
+		}
+		seen.OldTargets++
+		seen.OldSlots += slots
+		seen.OldInFlight += requests
+	}
+	return seen
+}
--- a/services/director/state.go
+++ b/services/director/state.go
@@ -48,6 +48,9 @@
 	if result.Changed {
 		c.publish()
 	}
+	if result.CountsChanged {
+		c.store()
+	}
 	if result.VerdictsChanged {
 		c.publishVerdicts()
 	}
@@ -72,6 +75,9 @@
 	defer c.mu.Unlock()
 	c.machine = catalog.Restore(state)
 	c.clock.Observe(c.machine.Verdicts().LatestMS())
+	for _, r := range c.machine.State().Rollouts {
+		c.clock.Observe(r.StartedMS)
+	}
 	c.publish()
 	c.publishVerdicts()
 	return nil
@@ -79,10 +85,16 @@
 
 // publish makes the state visible to readers. The caller holds the lock.
 func (c *catalogState) publish() {
+	c.store()
+	c.changed()
+}
+
+// store makes the state visible to readers without waking the followers' feeds. The
+// caller holds the lock.
+func (c *catalogState) store() {
 	state := c.machine.State()
 	c.current.Store(state)
 	c.packed.Store(rpc.PackCatalog(state, c.packed.Load()))
-	c.changed()
 }
 
 // publishVerdicts announces a change of the verdicts. The caller holds the lock.
