--- a/core/rollout/cusum.go
+++ b/core/rollout/cusum.go
@@ -14,7 +14,7 @@
 	doubtLevel = 0.6 * alarmLevel
 	// burstLevel is the most that the responses of one interval add. Responses that fail
 	// together may have one cause, such as the loss of a machine.
-	burstLevel = 0.45 * alarmLevel
+	burstLevel = 0.3 * alarmLevel
 	// soundLevel is the ratio of the whole evidence at which the new version counts as
 	// sound; Wald's lower bound for an error of 0.02.
 	soundLevel = -3.9
--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -11,7 +11,7 @@
 const (
 	// canaryShare is the part of the exposure share that Canary may use. The rest is
 	// for a version that turns bad during Finishing, until that is noticed.
-	canaryShare = 0.5
+	canaryShare = 0.4
 	// canarySlack is the part of the slack that Canary may use. The rest is for requests
 	// that reached the new version before all processes knew of the rollout.
 	canarySlack = 0.6
@@ -270,9 +270,10 @@
 	if kind := m.All.above(alarmLevel); kind != "" {
 		return fmt.Sprintf("the new version has more %s responses: %s", kind, compare(o.Sum.New, o.Sum.Old))
 	}
-	answers, bad := float64(o.Sum.New.Answers), float64(max(o.Sum.New.Bad(), r.Bad))
+	// A new leader has not heard from all processes, and will not from those that ended.
+	known := o.Sum.New.max(r.New)
+	answers, bad := float64(known.Answers), float64(known.Bad())
 	p := math.Min(1, math.Max(m.All.failures.peak, m.All.failures.expected)+math.Max(m.All.slow.peak, m.All.slow.expected))
-	answers = math.Max(answers, bad)
 	excess := bad - answers*p - badDeviations*math.Sqrt(answers*p*(1-p))
 	if excess >= badLimit && bad > answers*(p+badDifference) {
 		return fmt.Sprintf("%d bad responses of the new version are too many: %s", int(bad), compare(o.Sum.New, o.Sum.Old))
--- a/core/rollout/ledger.go
+++ b/core/rollout/ledger.go
@@ -104,7 +104,7 @@
 }
 
 // Totals returns what the record keeps of a sum.
-func (s *Sum) Totals() Totals { return Totals{Requests: s.Requests, Bad: s.New.Bad(), Old: s.Old} }
+func (s *Sum) Totals() Totals { return Totals{Requests: s.Requests, New: s.New, Old: s.Old} }
 
 // Granted notes requests handed out to a process.
 func (l *Ledger) Granted(incarnation uint64, requests int, expiresMS int64) {
--- a/core/rollout/record.go
+++ b/core/rollout/record.go
@@ -40,7 +40,7 @@
 // start from nothing.
 type Totals struct {
 	Requests uint64 `msgpack:"n"` // that provably reached the service since the start
-	Bad      uint64 `msgpack:"b"` // responses of the new version
+	New      Counts `msgpack:"w"` // of the new version
 	Old      Counts `msgpack:"o"` // of the other versions
 }
 
@@ -197,6 +197,7 @@
 // include takes totals, none of which ever falls.
 func (r *Rollout) include(t Totals) {
 	r.Requests = max(r.Requests, t.Requests)
-	r.Bad = max(r.Bad, t.Bad)
+	r.New = r.New.max(t.New)
+	r.Bad = max(r.Bad, r.New.Bad())
 	r.Old = r.Old.max(t.Old)
 }
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -47,6 +47,7 @@
 	Requests   uint64 `msgpack:"n"`           // of the service since the start, as reported so far
 	Bad        uint64 `msgpack:"b"`           // failed or slow responses of the new version
 	Reason     string `msgpack:"r,omitempty"` // why the phase was entered, for operators
+	New        Counts `msgpack:"w,omitempty"` // responses of the new version, as reported so far
 	Old        Counts `msgpack:"o,omitempty"` // responses of the other versions since the start, as reported so far
 	Again      bool   `msgpack:"e,omitempty"` // the service had a rollout before, so processes may have counted responses of the version already
 }
