--- a/cmd/banyanctl/command.go
+++ b/cmd/banyanctl/command.go
@@ -41,7 +41,7 @@
 func (c *command) name() string { return strings.Join(c.path, " ") }
 
 func commands() []command {
-	return slices.Concat(bundleCommands(), markCommands(), statusCommands(), siteCommands(), timelineCommands())
+	return slices.Concat(bundleCommands(), markCommands(), statusCommands(), siteCommands(), rolloutCommands(), timelineCommands())
 }
 
 // findCommand returns the command whose name args start with, and the remaining
@@ -92,6 +92,8 @@
 	unsigned, source            bool
 	kind, value                 string
 	request, job, target, since string
+	service                     string
+	duration                    time.Duration
 }
 
 func newInvocation(cmd *command, out io.Writer) *invocation {
--- a/cmd/banyanctl/site.go
+++ b/cmd/banyanctl/site.go
@@ -21,10 +21,7 @@
 )
 
 func siteCommands() []command {
-	return []command{{path: []string{"site"}, summary: "show a site: replicas, members, targets and jobs", run: showSite, registerFlags: func(c *invocation) {
-		c.flagSet.StringVar(&c.addrs, "control", "", "wire addresses of control hosts, comma-separated, tried in order until one answers")
-		c.flagSet.StringVar(&c.caFile, "tls-ca", "", "PEM certificates to trust; empty: connections without TLS")
-	}}}
+	return []command{{path: []string{"site"}, summary: "show a site: replicas, members, targets and jobs", run: showSite, registerFlags: registerSiteFlags}}
 }
 
 // siteReport is the state of a site as reported by one control host, and the
--- a/cmd/banyanctl/timeline.go
+++ b/cmd/banyanctl/timeline.go
@@ -14,12 +14,13 @@
 		c.flagSet.StringVar(&c.options.request, "request", "", "only events of this request")
 		c.flagSet.StringVar(&c.options.job, "job", "", "only events of this job")
 		c.flagSet.StringVar(&c.options.target, "target", "", "only events of this target")
+		c.flagSet.StringVar(&c.options.service, "service", "", "only events of this service, such as its rollouts")
 		c.flagSet.StringVar(&c.options.since, "since", "", "only events at or after this time, such as 2006-01-02T15:04:05Z")
 	}}}
 }
 
 func showTimeline(c *invocation) error {
-	filter := timeline.Filter{Request: c.options.request, Job: c.options.job, Target: c.options.target}
+	filter := timeline.Filter{Request: c.options.request, Job: c.options.job, Target: c.options.target, Service: c.options.service}
 	if c.options.since != "" {
 		since, err := time.Parse(time.RFC3339, c.options.since)
 		if err != nil {
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -10,6 +10,7 @@
 
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/quarantine"
+	"banyanwalk/core/rollout"
 )
 
 func put(version uint64, body string) Command {
@@ -113,3 +114,41 @@
 	require.NoError(t, msgpack.Unmarshal(current, &snapshot))
 	assert.Equal(t, m.Verdicts().All(), Restore(snapshot).Verdicts().All())
 }
+
+// Grants come several times a second and must not make every follower get the whole
+// catalog again. Snapshots keep rollouts, and those of earlier builds have none.
+func TestRolloutsAreReplicated(t *testing.T) {
+	m := New()
+	m.Apply(1, put(5, "five"))
+	earlier, err := msgpack.Marshal(struct {
+		Revision uint64 `msgpack:"r"`
+		Version  uint64 `msgpack:"v"`
+		Body     []byte `msgpack:"b"`
+	}{1, 5, []byte("five")})
+	require.NoError(t, err)
+	begin := func(service, version string) Command {
+		return Command{Rollout: &rollout.Command{Begin: &rollout.Begin{AtMS: 9, Service: service, Version: version, DurationMS: 1000}}}
+	}
+	require.True(t, m.Apply(2, begin("s", "v2")).Changed)
+	require.True(t, m.Apply(3, begin("a", "v2")).Changed)
+	conflict := m.Apply(4, begin("a", "v3"))
+	require.NotNil(t, conflict.Error)
+	assert.Equal(t, outcome.RolloutActive, conflict.Error.Code)
+	before := m.State()
+	grant := Command{Rollout: &rollout.Command{Grant: &rollout.Grant{AtMS: 10, Service: "a", StartedMS: 9, Requests: 4, Limit: 5}}}
+	assert.Equal(t, int64(10), grant.AtMS())
+	assert.Equal(t, Result{CountsChanged: true}, m.Apply(5, grant))
+	assert.Equal(t, uint64(3), m.State().Revision)
+	assert.Equal(t, uint64(4), m.State().Rollouts[0].Granted, "sorted by service")
+	assert.Zero(t, before.Rollouts[0].Granted, "a state returned earlier is not modified")
+	current, err := msgpack.Marshal(m.Snapshot())
+	require.NoError(t, err)
+	for _, c := range []struct {
+		encoded []byte
+		want    []rollout.Rollout
+	}{{earlier, nil}, {current, m.State().Rollouts}} {
+		var snapshot Snapshot
+		require.NoError(t, msgpack.Unmarshal(c.encoded, &snapshot))
+		assert.Equal(t, c.want, Restore(snapshot).State().Rollouts)
+	}
+}
--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -160,7 +160,7 @@
 	if o.OldTargets == 0 && o.NewTargets > 0 && r.Old.Answers+o.Sum.Old.Answers == 0 {
 		return advance(Completed, "no target runs another version"), m
 	}
-	missing := m.missing(o)
+	missing := m.missing(&r, o)
 	switch {
 	case left > finishing:
 		stay.Why = fmt.Sprintf("observes until %d ms before the time limit", finishing)
@@ -312,8 +312,8 @@
 }
 
 // missing returns what is needed before Finishing, or an empty string.
-func (m *Memory) missing(o *Observed) string {
-	fresh := o.Sum.New
+func (m *Memory) missing(r *Rollout, o *Observed) string {
+	fresh := o.Sum.New.max(r.New)
 	if o.NewTargets == 0 {
 		return "no target of the new version is ready"
 	}
--- a/core/rollout/ledger.go
+++ b/core/rollout/ledger.go
@@ -77,10 +77,14 @@
 
 // Sum adds the evidence up. Requests and the counts of the other versions begin with
 // the first reports to this ledger and are added to those of the record. The counts of
-// the new version are whole, so that a new leader sees its bad responses from before,
-// unless the version was rolled out earlier.
+// the new version are whole, so that a new leader sees its bad responses from before.
+// They begin with the first reports too if the service had a rollout before, as processes
+// may have counted responses of the version then.
 func (l *Ledger) Sum() Sum {
 	s := Sum{Requests: l.start.Requests, Old: l.start.Old, Routes: make(map[string]RouteSum)}
+	if l.start.Again {
+		s.New = l.start.New
+	}
 	for _, p := range l.processes {
 		for key, latest := range p.latest {
 			added := latest.since(p.baseline[key])
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"banyanwalk/core/rollout"
 )
@@ -249,3 +250,64 @@
 		})
 	}
 }
+
+// Reports are cumulative: in any order, lost or repeated, they must give the sum of the
+// newest counts, without what was counted before the order, and never the same request
+// twice.
+func TestLedgerCountsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := rollout.NewLedger(0, rollout.Rollout{Service: "s", Version: "2", Requests: 7})
+		before := rapid.Uint64Range(0, 1000).Draw(t, "before")
+		evidence := func(version string, answers uint64) []rollout.Evidence {
+			return []rollout.Evidence{{Service: "s", Version: version, Route: "r", Requests: answers, Answers: answers}, {Service: "other", Version: version, Answers: 99}}
+		}
+		newest := make(map[uint64]uint64)
+		for p := uint64(1); p <= 3; p++ {
+			l.Report(0, p, evidence("1", before))
+			newest[p] = before
+		}
+		for range rapid.IntRange(0, 30).Draw(t, "reports") {
+			p := rapid.Uint64Range(1, 3).Draw(t, "process")
+			answers := before + rapid.Uint64Range(0, 500).Draw(t, "answers")
+			l.Report(1000, p, evidence("1", answers))
+			newest[p] = max(newest[p], answers)
+		}
+		want := uint64(0)
+		for _, n := range newest {
+			want += n - before
+		}
+		sum := l.Sum()
+		require.Equal(t, 7+want, sum.Requests)
+		require.Equal(t, want, sum.Old.Answers)
+		require.Zero(t, sum.New.Answers)
+	})
+}
+
+// Requests that expired unspent are granted again, but only once it is certain that they
+// cannot be spent any more.
+func TestExpiredGrantsReturn(t *testing.T) {
+	l := rollout.NewLedger(0, rollout.Rollout{Service: "s", Version: "2"})
+	placed := func(n uint64) []rollout.Evidence {
+		return []rollout.Evidence{{Service: "s", Version: "2", Requests: n}}
+	}
+	l.Report(0, 1, placed(3))
+	l.Granted(1, 10, 2000)
+	l.Report(2500, 1, placed(7))
+	assert.Zero(t, l.Unspent(2500, 1), "a report may be late")
+	l.Report(5000, 1, placed(7))
+	assert.Equal(t, uint64(6), l.Unspent(5000, 1))
+	assert.Zero(t, l.Unspent(9000, 1), "returned already")
+}
+
+// The version that is already the only one in force is completed at once.
+func TestVersionInForceIsCompleted(t *testing.T) {
+	c := beginCommand(1, "2", 1000)
+	c.Begin.InForce = true
+	all, change, err := rollout.Apply(nil, c)
+	require.Nil(t, err)
+	assert.Equal(t, rollout.PhaseChange, change)
+	assert.Equal(t, rollout.Completed, all[0].Phase)
+	d, _ := rollout.Decide(3000, rollout.Rollout{DurationMS: 60_000, Phase: rollout.Canary}, bounds, &rollout.Observed{LedgerAgeMS: 3000, Targets: rollout.Targets{NewTargets: 2}}, rollout.Memory{})
+	require.NotNil(t, d.Advance)
+	assert.Equal(t, rollout.Completed, d.Advance.Phase)
+}
--- a/services/director/rollouts.go
+++ b/services/director/rollouts.go
@@ -38,7 +38,6 @@
 	// confirmed is the boottime instant at which the last read began by which a quorum
 	// confirmed that this host leads; 0: never.
 	confirmed atomic.Int64
-	metrics   metrics.Registry
 	logging   sync.Mutex // held while grants are logged; taken before mu
 
 	mu        sync.Mutex
@@ -46,11 +45,7 @@
 }
 
 func newRollouts(cfg *Config) *rollouts {
-	return &rollouts{conns: wire.NewPool(cfg.ClientTLS), metrics: cfg.Metrics, bounds: cfg.Rollout, byService: make(map[string]*rollout.Leader)}
-}
-
-func (r *rollouts) count(name string, n int64) {
-	metrics.GetOrRegisterCounter("director.rollouts."+name, r.metrics).Inc(n)
+	return &rollouts{conns: wire.NewPool(cfg.ClientTLS), bounds: cfg.Rollout, byService: make(map[string]*rollout.Leader)}
 }
 
 // get returns the state of an active rollout. The caller holds the lock.
@@ -69,7 +64,7 @@
 	err := s.logBegin(ctx, service, version, duration)
 	s.log.Info("rollout_ordered", "service", service, "version", version, "duration_ms", duration.Milliseconds(), "error", err)
 	if err != nil {
-		s.rollouts.count("refused", 1)
+		metrics.GetOrRegisterCounter("director.rollouts.refused", s.cfg.Metrics).Inc(1)
 	}
 	return err
 }
@@ -221,7 +216,7 @@
 	defer s.rollouts.mu.Unlock()
 	nowMS := s.state.clock.NowMS()
 	n := s.rollouts.get(nowMS, &record).Take(nowMS, record, incarnation, wanted)
-	s.rollouts.count("granted", int64(n))
+	metrics.GetOrRegisterCounter("director.rollouts.granted", s.cfg.Metrics).Inc(int64(n))
 	return n, nil
 }
 
@@ -272,7 +267,6 @@
 	defer r.mu.Unlock()
 	clear(r.byService)
 	r.confirmed.Store(0)
-	metrics.GetOrRegisterGauge("director.rollouts.active", r.metrics).Update(0)
 }
 
 func (s *Server) hasActiveRollout() bool {
@@ -305,7 +299,6 @@
 		return
 	}
 	s.confirmLeadership(ctx)
-	active := int64(0)
 	for _, record := range s.state.state().Rollouts {
 		if record.Phase.Final() {
 			s.rollouts.mu.Lock()
@@ -313,10 +306,8 @@
 			s.rollouts.mu.Unlock()
 			continue
 		}
-		active++
 		s.decideRollout(ctx, &record)
 	}
-	metrics.GetOrRegisterGauge("director.rollouts.active", s.rollouts.metrics).Update(active)
 }
 
 func (s *Server) decideRollout(ctx context.Context, record *rollout.Rollout) {
@@ -349,7 +340,7 @@
 		return
 	}
 	if err == nil && result.Changed {
-		s.rollouts.count(decision.Advance.Phase.String(), 1)
+		metrics.GetOrRegisterCounter("director.rollouts.advanced."+decision.Advance.Phase.String(), s.cfg.Metrics).Inc(1)
 	}
 	s.log.Info("rollout_advanced", "service", record.Service, "version", record.Version, "phase", decision.Advance.Phase.String(),
 		"reason", decision.Advance.Reason, "granted", record.Granted, "allowed", decision.Allowed, "reached", sum.Requests,
--- a/services/timeline/timeline.go
+++ b/services/timeline/timeline.go
@@ -34,6 +34,7 @@
 	requestKeys = []string{"request", "request_id"}
 	jobKeys     = []string{"job", "job_id"}
 	targetKeys  = []string{"target", "target_id"}
+	serviceKeys = []string{"service"}
 )
 
 // Field is a key and value of an event, other than the standard ones.
@@ -70,6 +71,7 @@
 	Request string
 	Job     string
 	Target  string
+	Service string
 	Since   time.Time
 }
 
@@ -78,7 +80,7 @@
 	if !f.Since.IsZero() && e.HLC.WallMS() < f.Since.UnixMilli() {
 		return false
 	}
-	return e.has(requestKeys, f.Request) && e.has(jobKeys, f.Job) && e.has(targetKeys, f.Target)
+	return e.has(requestKeys, f.Request) && e.has(jobKeys, f.Job) && e.has(targetKeys, f.Target) && e.has(serviceKeys, f.Service)
 }
 
 func (e *Event) has(keys []string, value string) bool {
