Rollouts: pace of grants, room for late badness, proof under the whole load

The slack is now paced, Canary leaves the requests of 2 s for Finishing, and Finishing ends with 100 responses or near its limit.

--- a/core/rollout/cusum.go
+++ b/core/rollout/cusum.go
@@ -12,9 +12,12 @@
 	alarmLevel = 11.5
 	// doubtLevel is the ratio above which a rollout does not go on to the next phase.
 	doubtLevel = 0.6 * alarmLevel
-	// burstLevel is the most that the responses of one interval add. Responses that fail
-	// together may have one cause, such as the loss of a machine.
-	burstLevel = 0.3 * alarmLevel
+	// burstLevel is the most that the responses of one interval add during Canary.
+	// Responses that fail together may have one cause, such as the loss of a machine, and
+	// are reported in up to four intervals. finishingBurstLevel holds during Finishing,
+	// when a bad version gets all requests and many good responses outweigh such a loss.
+	burstLevel          = 0.2 * alarmLevel
+	finishingBurstLevel = 0.45 * alarmLevel
 	// soundLevel is the ratio of the whole evidence at which the new version counts as
 	// sound; Wald's lower bound for an error of 0.02.
 	soundLevel = -3.9
@@ -38,6 +41,9 @@
 	// recentMS is the time constant of the old version's recent share. The share at the
 	// same time counts, because it differs with the load.
 	recentMS = 1000
+	// minPeakAnswers is how many recent responses a peak needs; the share of fewer varies
+	// too much.
+	minPeakAnswers = 40
 	// recentPriorAnswers is the weight of the share since the start in the recent one.
 	recentPriorAnswers = 20
 )
@@ -72,7 +78,7 @@
 	oldTotal   tally // of the old version, since the start
 	old, added tally // of the old and of the new version, in the interval
 	prior      tally
-	first      bool // of this leader: it covers a longer time, and burstLevel does not hold
+	first      bool // of this leader: it covers a longer time, and no burst level holds
 	alone      bool // the old version gets no more requests
 }
 
@@ -85,13 +91,19 @@
 	keep := math.Exp(-float64(i.elapsedMS) / recentMS)
 	c.recent = tally{c.recent.answers*keep + i.old.answers, c.recent.bad*keep + i.old.bad}
 	share := c.recent.share(recentPrior)
-	c.peak = math.Max(c.peak, share)
+	if c.recent.answers >= minPeakAnswers {
+		c.peak = math.Max(c.peak, share)
+	}
 	c.expected = math.Max(usual, math.Max(share, i.old.share(recentPrior)))
 	if i.alone {
 		c.expected = math.Max(c.expected, c.peak)
 	}
 	change := i.added.ratio(c.expected)
-	if !i.first {
+	switch {
+	case i.first:
+	case i.alone:
+		change = math.Min(change, finishingBurstLevel)
+	default:
 		change = math.Min(change, burstLevel)
 	}
 	c.level = math.Max(0, c.level+change)
--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -9,19 +9,25 @@
 )
 
 const (
-	// canaryShare is the part of the exposure share that Canary may use. The rest is
-	// for a version that turns bad during Finishing, until that is noticed.
-	canaryShare = 0.4
+	// largestCanaryShare is the part of the exposure share that Canary may use at most. The
+	// rest is for a version that turns bad during Finishing, when it gets all requests: it
+	// is noticed within 2 s, noticeMS, which is much of a short duration.
+	largestCanaryShare = 0.4
+	leastCanaryShare   = 0.15
+	noticeMS           = 2000
 	// canarySlack is the part of the slack that Canary may use. The rest is for requests
 	// that reached the new version before all processes knew of the rollout.
 	canarySlack = 0.6
+	// firstSlack is the part of that which may be used at once. The rest becomes available
+	// evenly until Finishing, so that a small service has evidence all the time.
+	firstSlack = 0.35
 
 	// finishingShare of the duration is left when Finishing begins, and more for a short
 	// duration: requests at the old version last for up to 5 s.
 	finishingShare = 0.15
-	finishingMS    = 8000
+	finishingMS    = 7000
 	// largestFinishingShare bounds finishingMS.
-	largestFinishingShare = 0.3
+	largestFinishingShare = 0.25
 	// watchShare of the time of Finishing passes before Completed, so that badness which
 	// shows only under the whole load is noticed while the old targets still run.
 	watchShare = 0.5
@@ -32,7 +38,9 @@
 	endedShare = 0.35
 	// completionShare of the time of Finishing is left at the latest at Completed, whether
 	// or not all requests at the old version have ended.
-	completionShare = 0.15
+	completionShare = 0.25
+	// watchAnswers of the new version during Finishing are needed before that.
+	watchAnswers = 100
 
 	// badLimit is the number of bad responses beyond those to be expected at which a
 	// version is reverted at once. It is well below 50, as requests are on their way.
@@ -43,9 +51,12 @@
 	badDeviations = 3
 
 	// The first responses of cold targets are slow. During the warm-up, slow responses
-	// count no further than to doubtLevel, but badLimit holds.
-	warmUpShare = 0.2
-	warmUpMS    = 8000
+	// count no further than to warmUpLevel, but badLimit holds. It lasts longer while
+	// targets say that they are cold, for longestWarmUpShare of the duration at most.
+	warmUpShare        = 0.2
+	warmUpMS           = 8000
+	longestWarmUpShare = 0.4
+	warmUpLevel        = 0.3 * alarmLevel
 
 	// minAnswers of the new version are needed before Finishing.
 	minAnswers = 24
@@ -90,8 +101,9 @@
 
 // Targets describes the targets of a service during a rollout.
 type Targets struct {
-	NewTargets  int // ready targets of the new version
-	OldTargets  int // targets of other versions in any state
+	NewCold     bool // one of them is cold
+	NewTargets  int  // ready targets of the new version
+	OldTargets  int  // targets of other versions in any state
 	NewSlots    int
 	OldSlots    int
 	InFlight    int // requests at all targets of the service
@@ -101,9 +113,10 @@
 // Memory is what Decide keeps between two calls. The zero value is that of a new leader.
 type Memory struct {
 	LastMS      int64
-	FirstNewMS  int64 // when the new version's first responses were seen
-	FinishingMS int64 // when Finishing was first seen
-	PeakLoad    int   // most requests seen at the targets of the service at once
+	FirstNewMS  int64  // when the new version's first responses were seen
+	FinishingMS int64  // when Finishing was first seen
+	Before      uint64 // responses of the new version until then
+	PeakLoad    int    // most requests seen at the targets of the service at once
 	All         RouteMemory
 	Routes      map[string]RouteMemory
 }
@@ -128,9 +141,24 @@
 	return int64(math.Max(finishingShare*d, math.Min(finishingMS, largestFinishingShare*d)))
 }
 
-// Allowed returns how many requests to the new version may be granted during Canary.
-func Allowed(b Bounds, reached uint64) uint64 {
-	return uint64(canaryShare*b.Share*float64(reached) + canarySlack*float64(b.Slack))
+// Allowed returns how many requests to the new version may be granted during Canary,
+// after the given time and number of requests that reached the service.
+func Allowed(b Bounds, durationMS, elapsedMS int64, reached uint64) uint64 {
+	passed := math.Min(1, math.Max(0, float64(elapsedMS)/float64(durationMS-FinishingMS(durationMS))))
+	slack := canarySlack * float64(b.Slack) * (firstSlack + (1-firstSlack)*passed)
+	share := canaryShare(b, durationMS, float64(reached)/math.Max(1, float64(elapsedMS)))
+	return uint64(share*b.Share*float64(reached) + slack)
+}
+
+// canaryShare returns the part of the exposure share that Canary may use at a rate of
+// requests per millisecond.
+func canaryShare(b Bounds, durationMS int64, rate float64) float64 {
+	kept := math.Max(0, rate*noticeMS-(1-canarySlack)*float64(b.Slack))
+	expected := b.Share * rate * float64(durationMS)
+	if expected <= 0 {
+		return largestCanaryShare
+	}
+	return math.Min(largestCanaryShare, math.Max(leastCanaryShare, 1-kept/expected))
 }
 
 // Decide judges a rollout that is not final. It is a pure function of its arguments.
@@ -141,14 +169,14 @@
 		why = fmt.Sprintf(why, args...)
 		return Decision{Why: why, Advance: &Advance{AtMS: nowMS, Service: r.Service, StartedMS: r.StartedMS, Phase: p, Reason: why, Totals: o.Sum.Totals()}}
 	}
-	if bad := m.findBad(nowMS, &r, o); bad != "" {
+	if bad := m.findBad(&r, o); bad != "" {
 		return advance(Reverted, "%s", bad), m
 	}
 	finishing := FinishingMS(r.DurationMS)
 	if r.Phase == Finishing {
 		return m.decideFinishing(nowMS, left, finishing, o, advance), m
 	}
-	stay := Decision{Allowed: Allowed(b, max(r.Requests, o.Sum.Requests))}
+	stay := Decision{Allowed: Allowed(b, r.DurationMS, nowMS-r.StartedMS, max(r.Requests, o.Sum.Requests))}
 	if o.NewTargets == 0 {
 		stay.Allowed = 0
 	}
@@ -182,9 +210,11 @@
 	switch {
 	case o.LedgerAgeMS < gatherMS:
 		return Decision{Why: "gathers evidence"}
+	case left <= int64(completionShare*float64(finishing)) && m.doubt() != "":
+		return advance(Reverted, "near the time limit: %s", m.doubt())
 	case left <= int64(completionShare*float64(finishing)):
 		return advance(Completed, "the time limit is near; %d requests are at the old version", o.OldInFlight)
-	case left > int64(watchShare*float64(finishing)), nowMS-m.FinishingMS < leastWatchMS:
+	case left > int64(watchShare*float64(finishing)), nowMS-m.FinishingMS < leastWatchMS, o.Sum.New.Answers < m.Before+watchAnswers:
 		return Decision{Why: "observes the new version under the whole load"}
 	case o.OldInFlight > 0:
 		return Decision{Why: fmt.Sprintf("%d requests are at the old version", o.OldInFlight)}
@@ -207,12 +237,12 @@
 		m.FirstNewMS = nowMS
 	}
 	if m.FinishingMS == 0 && r.Phase == Finishing {
-		m.FinishingMS = nowMS
+		m.FinishingMS, m.Before = nowMS, o.Sum.New.Answers
 	}
 	if o.Sum.Old.Answers < minOldAnswers {
 		return m // the responses of the new version are compared later
 	}
-	step := routeStep{elapsedMS: elapsed, warm: !m.warmingUp(nowMS, r), alone: r.Phase == Finishing}
+	step := routeStep{elapsedMS: elapsed, warm: !m.warmingUp(nowMS, r, o.NewCold), alone: r.Phase == Finishing}
 	prior := tally{priorAnswers, priorBad}
 	m.All = m.All.observe(step, o.Sum.Old, o.Sum.New, prior, prior)
 	routes := maps.Clone(m.Routes)
@@ -244,22 +274,23 @@
 	i.oldTotal, i.old, i.added, i.prior = slow(oldSum), slow(old), slow(added), slowPrior
 	m.slow = m.slow.observe(i)
 	if !step.warm {
-		m.slow.level = math.Min(m.slow.level, doubtLevel)
+		m.slow.level = math.Min(m.slow.level, warmUpLevel)
 	}
 	m.started = true
 	m.old, m.new = m.old.max(oldSum), m.new.max(newSum)
 	return m
 }
 
-func (m *Memory) warmingUp(nowMS int64, r *Rollout) bool {
+func (m *Memory) warmingUp(nowMS int64, r *Rollout, cold bool) bool {
 	if m.FirstNewMS == 0 {
 		return true
 	}
-	return nowMS-m.FirstNewMS < int64(math.Min(warmUpMS, warmUpShare*float64(r.DurationMS)))
+	passed, duration := float64(nowMS-m.FirstNewMS), float64(r.DurationMS)
+	return passed < math.Min(warmUpMS, warmUpShare*duration) || cold && passed < longestWarmUpShare*duration
 }
 
 // findBad returns why the new version counts as bad, or an empty string.
-func (m *Memory) findBad(nowMS int64, r *Rollout, o *Observed) string {
+func (m *Memory) findBad(r *Rollout, o *Observed) string {
 	for _, name := range slices.Sorted(maps.Keys(m.Routes)) {
 		route := m.Routes[name]
 		if kind := route.above(alarmLevel); kind != "" {
--- a/core/rollout/leader.go
+++ b/core/rollout/leader.go
@@ -7,6 +7,9 @@
 	grantLogMS = 100
 	// totalsMS is how often the totals are logged when no grant is.
 	totalsMS = 1000
+	// reserveFactor is how many times the wanted number is logged at once. What is logged
+	// and not handed out is lost with the leader.
+	reserveFactor = 2
 	// processesPerRoom is among how many processes what can be granted is divided at
 	// least, so that the first one that asks does not get all of it.
 	processesPerRoom = 4
@@ -54,10 +57,10 @@
 // wanted number, nothing more may be granted or the last entry was too recent.
 func (l *Leader) Reserve(nowMS int64, r Rollout, wanted uint64) *Grant {
 	limit := l.decision.Allowed
-	if r.Phase != Canary || r.Granted >= limit || l.pool >= wanted*processesPerRoom || nowMS-l.loggedMS < grantLogMS {
+	if r.Phase != Canary || r.Granted >= limit || l.pool >= wanted || nowMS-l.loggedMS < grantLogMS {
 		return nil
 	}
-	return l.grant(nowMS, r, limit-r.Granted, limit)
+	return l.grant(nowMS, r, min(limit-r.Granted, reserveFactor*wanted), limit)
 }
 
 // Reserved adds requests of a command that has been applied.
@@ -82,7 +85,8 @@
 	if r.Phase != Canary || l.decision.Allowed == 0 || wanted <= 0 {
 		return 0
 	}
-	n := min(uint64(wanted), max(1, l.pool/processesPerRoom), l.pool)
+	room := l.decision.Allowed - min(l.decision.Allowed, r.Granted)
+	n := min(uint64(wanted), max(1, (l.pool+room)/processesPerRoom), l.pool)
 	if n == 0 {
 		return 0
 	}
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -26,14 +26,18 @@
 
 // badVersions are the ways in which a new version may be bad.
 var badVersions = map[string]func(s *site, route string) (failed, slow bool){
-	"at once":         func(s *site, _ string) (bool, bool) { return bad(s, 0.3) },
-	"always fails":    func(*site, string) (bool, bool) { return true, false },
-	"only slow":       func(s *site, _ string) (bool, bool) { return false, s.rand.Float64() < 0.4 },
-	"late":            func(s *site, _ string) (bool, bool) { return bad(s, when(s.elapsed() > s.durationMS/2, 0.3)) },
-	"in Finishing":    func(s *site, _ string) (bool, bool) { return bad(s, when(s.elapsed() > s.durationMS*4/5+500, 0.3)) },
-	"only under load": func(s *site, _ string) (bool, bool) { return bad(s, when(s.freshInFlight() > 60, 0.4)) },
-	"on one route":    func(s *site, route string) (bool, bool) { return bad(s, when(route == "b", 0.3)) },
-	"a tenth is bad":  func(s *site, _ string) (bool, bool) { return bad(s, 0.15) },
+	"at once":      func(s *site, _ string) (bool, bool) { return bad(s, 0.3) },
+	"always fails": func(*site, string) (bool, bool) { return true, false },
+	"only slow":    func(s *site, _ string) (bool, bool) { return false, s.rand.Float64() < 0.4 },
+	"late":         func(s *site, _ string) (bool, bool) { return bad(s, when(s.elapsed() > s.durationMS/2, 0.3)) },
+	"in Finishing": func(s *site, _ string) (bool, bool) {
+		return bad(s, when(s.elapsed() > s.durationMS-rollout.FinishingMS(s.durationMS)+300, 0.3))
+	},
+	"only under load": func(s *site, _ string) (bool, bool) {
+		return bad(s, when(float64(s.freshInFlight()) > 0.2*s.rate(s.elapsed()), 0.4))
+	},
+	"on one route":   func(s *site, route string) (bool, bool) { return bad(s, when(route == "b", 0.3)) },
+	"a tenth is bad": func(s *site, _ string) (bool, bool) { return bad(s, 0.15) },
 	"late, one route": func(s *site, route string) (bool, bool) {
 		return bad(s, when(route == "c" && s.elapsed() > s.durationMS/2, 0.5))
 	},
@@ -61,7 +65,7 @@
 	},
 	"hoarded grants": func(s *site) { s.hoard = true },
 	"steps of the load": func(s *site) {
-		s.rate = func(ms int64) float64 { return []float64{120, 560}[ms/3300%2] }
+		s.rate = func(ms int64) float64 { return []float64{0.4, 1.84}[ms/3300%2] * usualRate }
 	},
 	"frozen process": func(s *site) { s.frozen, s.wakeMS = map[int]bool{1: true, 2: true}, 1_012_000 },
 }
--- a/core/rollout/site_test.go
+++ b/core/rollout/site_test.go
@@ -21,6 +21,7 @@
 	oldVersion  = "1"
 	newVersion  = "2"
 	serviceName = "llm"
+	usualRate   = 300 // requests a second
 )
 
 var bounds = rollout.Bounds{Share: 0.1, Slack: 50, RollbackDelay: 5 * time.Second}
@@ -88,7 +89,7 @@
 }
 
 func newSite(seed uint64) *site {
-	s := &site{rand: rand.New(rand.NewPCG(seed, 1)), rate: func(int64) float64 { return 300 }, routes: []string{"a", "b", "c"}, durationMS: 40_000,
+	s := &site{rand: rand.New(rand.NewPCG(seed, 1)), rate: func(int64) float64 { return usualRate }, routes: []string{"a", "b", "c"}, durationMS: 40_000,
 		machine: catalog.New(), newSlots: 300}
 	s.answer = func(s *site, _ bool, _ string) (bool, bool) { return s.rand.Float64() < 0.005, s.rand.Float64() < 0.02 }
 	for i := range 12 {
--- a/services/director/rollouts.go
+++ b/services/director/rollouts.go
@@ -389,7 +389,8 @@
 
 // versions describes the targets of a service by version.
 func (r *registry) versions(service, version string) versionsSeen {
-	loads := r.sumPeerLoads(time.Now(), "").Loads
+	now := time.Now()
+	loads := r.sumPeerLoads(now, "").Loads
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var seen versionsSeen
@@ -407,6 +408,7 @@
 		if record.Version == version {
 			seen.NewTargets += ready
 			seen.NewSlots += slots
+			seen.NewCold = seen.NewCold || ready > 0 && record.ColdUntil.After(now)
 			continue
 		}
 		seen.OldTargets++
