--- a/core/rollout/cusum.go
+++ b/core/rollout/cusum.go
@@ -70,6 +70,7 @@
 	recent   tally   // of the old version, decaying
 	peak     float64 // largest recent share of the old version
 	expected float64 // share of bad responses of the old version
+	load     float64 // expected, as a multiple of the share since the start
 }
 
 // interval holds the responses since the previous decision.
@@ -78,8 +79,9 @@
 	oldTotal   tally // of the old version, since the start
 	old, added tally // of the old and of the new version, in the interval
 	prior      tally
-	first      bool // of this leader: it covers a longer time, and no burst level holds
-	alone      bool // the old version gets no more requests
+	first      bool    // of this leader: it covers a longer time, and no burst level holds
+	load       float64 // by which the share on all routes is above that since the start
+	alone      bool    // the old version gets no more requests
 }
 
 // observe adds the responses of one interval. The old version's share is its share at the
@@ -98,6 +100,9 @@
 	if i.alone {
 		c.expected = math.Max(c.expected, c.peak)
 	}
+	// One route has too few responses to follow the load by itself.
+	c.expected = math.Max(c.expected, math.Min(largestShare, usual*i.load))
+	c.load = c.expected / usual
 	change := i.added.ratio(c.expected)
 	switch {
 	case i.first:
@@ -109,3 +114,6 @@
 	c.level = math.Max(0, c.level+change)
 	return c
 }
+
+// usual returns the old version's share since the start.
+func (c cusum) usual() float64 { return c.expected / c.load }
--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -245,13 +245,14 @@
 	step := routeStep{elapsedMS: elapsed, warm: !m.warmingUp(nowMS, r, o.NewCold), alone: r.Phase == Finishing}
 	prior := tally{priorAnswers, priorBad}
 	m.All = m.All.observe(step, o.Sum.Old, o.Sum.New, prior, prior)
+	step.failures, step.slow = m.All.failures.load, m.All.slow.load
 	routes := maps.Clone(m.Routes)
 	if routes == nil {
 		routes = make(map[string]RouteMemory)
 	}
 	for name, sum := range o.Sum.Routes {
-		failures := tally{routePriorAnswers, routePriorAnswers * m.All.failures.expected}
-		slow := tally{routePriorAnswers, routePriorAnswers * m.All.slow.expected}
+		failures := tally{routePriorAnswers, routePriorAnswers * m.All.failures.usual()}
+		slow := tally{routePriorAnswers, routePriorAnswers * m.All.slow.usual()}
 		routes[name] = routes[name].observe(step, sum.Old, sum.New, failures, slow)
 	}
 	m.Routes = routes
@@ -260,8 +261,9 @@
 
 // routeStep is what all routes have in common in one call of Decide.
 type routeStep struct {
-	elapsedMS   int64
-	warm, alone bool
+	elapsedMS      int64
+	warm, alone    bool
+	failures, slow float64 // see interval.load
 }
 
 func (m RouteMemory) observe(step routeStep, oldSum, newSum Counts, failurePrior, slowPrior tally) RouteMemory {
@@ -269,9 +271,9 @@
 	failed := func(c Counts) tally { return tally{float64(c.Answers), float64(c.Failed)} }
 	slow := func(c Counts) tally { return tally{float64(c.Answers), float64(c.Slow)} }
 	i := interval{elapsedMS: step.elapsedMS, first: !m.started, alone: step.alone}
-	i.oldTotal, i.old, i.added, i.prior = failed(oldSum), failed(old), failed(added), failurePrior
+	i.oldTotal, i.old, i.added, i.prior, i.load = failed(oldSum), failed(old), failed(added), failurePrior, step.failures
 	m.failures = m.failures.observe(i)
-	i.oldTotal, i.old, i.added, i.prior = slow(oldSum), slow(old), slow(added), slowPrior
+	i.oldTotal, i.old, i.added, i.prior, i.load = slow(oldSum), slow(old), slow(added), slowPrior, step.slow
 	m.slow = m.slow.observe(i)
 	if !step.warm {
 		m.slow.level = math.Min(m.slow.level, warmUpLevel)
--- a/services/director/rollouts.go
+++ b/services/director/rollouts.go
@@ -205,6 +205,9 @@
 func (s *Server) handOut(ctx context.Context, service string, incarnation uint64, wanted int) (int, error) {
 	s.rollouts.logging.Lock()
 	defer s.rollouts.logging.Unlock()
+	if !s.leadsForCertain() {
+		return 0, nil // while this request waited for another one's log entry
+	}
 	if err := s.logGrants(ctx, service, uint64(wanted)); err != nil {
 		return 0, err
 	}
