Rollouts: a leader decides only on a state that a quorum has confirmed

A new leader that had not applied all entries could have decided on an older record; its commands would have had no effect, but cost a log entry each 200 ms.

--- a/services/director/rollouts.go
+++ b/services/director/rollouts.go
@@ -302,6 +302,9 @@
 		return
 	}
 	s.confirmLeadership(ctx)
+	if !s.leadsForCertain() {
+		return // nothing can be logged, and the state here may be old
+	}
 	for _, record := range s.state.state().Rollouts {
 		if record.Phase.Final() {
 			s.rollouts.mu.Lock()
