core/quota: gateways together keep to a bound over rate and burst

Each gateway held the whole bucket of a workspace, learned of the others' spending 200 to 400 ms late and forgot debts beyond one burst, so all together spent more than the limit at each peak, and several times as much without control.

With quota_window_s in the settings a gateway now spends only its part of the level and of the allowed excess between two reports. Silent gateways keep their equal part, a gateway without reports for 0.7 s of boot time uses only its own, and two control hosts report to each gateway. Reports come every 100 ms and at once near the bound. Retry-After of refused callers is spread at the rate. Without the setting nothing changes.

--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -19,6 +19,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"banyanwalk/core/quota"
 	"banyanwalk/core/routing"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/settings"
@@ -115,6 +116,9 @@
 	config.Storage = storage
 	config.Broker = broker
 	config.AcceptEarly = role == rpc.RoleGateway
+	if bounds := p.Settings.Quota; role == rpc.RoleGateway && bounds.Window > 0 {
+		config.Quota = &quota.Bounds{Window: bounds.Window, Overage: bounds.Overage, Slack: bounds.Slack}
+	}
 	return follow.New(config)
 }
 
--- /dev/null
+++ b/core/quota/bounded.go
@@ -0,0 +1,432 @@
+package quota
+
+import (
+	"hash/fnv"
+	"math"
+	"strconv"
+	"time"
+)
+
+const (
+	// reportAge is how old the reports of other gateways may be: 100 ms until the next
+	// report, 100 ms until the next push, and delays on a busy machine.
+	reportAge = 400 * time.Millisecond
+	// ownWindow is the time for which a gateway holds what it has spent against its part
+	// of the level. Others know of it after reportAge. Longer than that, because a gateway that
+	// spends again after reportAge does not know yet what others spent just before.
+	ownWindow = reportAge * 3 / 2
+	// spentSlots divides ownWindow for counting.
+	spentSlots = 16
+	// isolatedAfter is the age of the last report after which a gateway keeps to its own
+	// part of the rate.
+	isolatedAfter = 700 * time.Millisecond
+	// gatewaysRetention is how long a gateway that is not heard of keeps its part of the
+	// rates: it may be partitioned and still serve.
+	gatewaysRetention = 10 * time.Minute
+	// assumedGateways is the number of gateways until the first report.
+	assumedGateways = 64
+	// equalWeight is the weight of the equal parts of the level; the rest is divided by
+	// recent use. A small weight lets all callers of a workspace use one gateway.
+	equalWeight = 0.3
+	// usePrior is how many requests, spread equally, count as use in addition, so that
+	// the parts of a workspace with few requests don't jump.
+	usePrior = 2.0
+	// overageUse is the part of the overage that is spent on purpose. The rest covers
+	// what gateways spend unknown to each other while their parts change.
+	overageUse = 0.85
+	// lotChance and smallLotChance reduce the chances of a lot for a fraction of a token,
+	// since lots are drawn anew before all gateways know what the former ones brought.
+	// With 1 for both, a workspace of 2 a second exceeded its bound by 5 when 1000
+	// requests a second came.
+	lotChance      = 0.85
+	smallLotChance = 0.4 // for parts below one token
+	// useTimeConstant is how fast parts follow the use of gateways.
+	useTimeConstant = 3 * time.Second
+	// maxReturnWait bounds the times at which refused callers are told to return.
+	maxReturnWait = 2 * time.Second
+)
+
+// Bounds bounds by how much all gateways together may exceed the rate and burst of a
+// workspace in any window: (rate x Window + burst) x Overage + Slack.
+type Bounds struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
+// extra returns the tokens by which a level may be overdrawn. One is left for the
+// fractions of tokens that are drawn by lot.
+func (b *Bounds) extra(rate Rate) float64 {
+	return overageUse*b.Overage*(rate.PerSecond*b.Window.Seconds()+rate.Burst) + max(0, b.Slack-1)
+}
+
+// PeerReport is what a control host reports about the other gateways.
+type PeerReport struct {
+	Source  string            // identifies the process of the control host
+	Spent   map[string]uint64 // by workspace, as far as it changed; grows while Source is the same
+	Primary bool              // Live is set
+	Live    int               // gateways heard of lately, including this one
+}
+
+// bounded is the state that all workspaces share.
+type bounded struct {
+	bounds     Bounds
+	salt       uint64 // differs between the gateways
+	reportedAt time.Time
+	heard      bool // a primary has reported
+	gateways   int  // that share the rates; including silent ones
+	gatewaysAt time.Time
+	silent     int // of them
+	sources    map[string]bool
+	buckets    map[string]*boundedBucket
+	spends     uint64 // number of tokens spent
+	reportDue  bool   // a bucket is near its bound
+	reportAt   time.Time
+}
+
+// boundedBucket is this gateway's view of one workspace's bucket.
+type boundedBucket struct {
+	rate     Rate
+	level    float64 // as far as this gateway knows; negative: debt
+	filledAt time.Time
+	overflow float64 // tokens that did not fit the burst since the last report
+	reserved float64 // tokens left for silent gateways
+	spent    uint64  // by this process since its start
+
+	others  int64            // spent by other gateways since this process started
+	offsets map[string]int64 // others minus the reported total, by source
+
+	recent   [spentSlots]uint32 // spent in the last ownWindow
+	recentAt int64              // slot number of the newest entry
+
+	ownUse, othersUse float64 // decaying counts
+	usedAt            time.Time
+	newOwn            uint64 // spent when ownUse was last updated
+	newOthers         int64
+
+	isolatedAt time.Time // zero: not isolated
+	isolated   float64   // tokens of the own part of the rate
+	nextReturn time.Time
+}
+
+// SetBounds makes the buckets keep to bounds over all gateways together. The salt must
+// differ between the gateways. Callers pass times of a clock that counts suspensions.
+// It must be called before any other method.
+func (b *Buckets) SetBounds(bounds Bounds, salt uint64) {
+	b.bounded = &bounded{bounds: bounds, salt: salt, gateways: assumedGateways, sources: make(map[string]bool), buckets: make(map[string]*boundedBucket)}
+}
+
+// Bounded reports whether SetBounds was called.
+func (b *Buckets) Bounded() bool { return b.bounded != nil }
+
+// SetRates sets the rates of all workspaces, so that reports count from then on even
+// for workspaces without a request at this gateway.
+func (b *Buckets) SetRates(now time.Time, rates map[string]Rate) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for workspace, rate := range rates {
+		if rate.PerSecond > 0 {
+			b.bounded.bucket(now, workspace, rate, b.initialDebts)
+		}
+	}
+}
+
+// ApplyPeers applies a report about the other gateways.
+func (b *Buckets) ApplyPeers(now time.Time, report PeerReport) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.bounded
+	for _, held := range s.buckets {
+		s.refill(now, held)
+	}
+	silentBefore := s.silent
+	if report.Primary {
+		s.setGateways(now, report.Live)
+	}
+	for workspace, held := range s.buckets {
+		credit := 0.0
+		if s.silent < silentBefore { // they report what they have spent meanwhile
+			credit = held.reserved * float64(silentBefore-s.silent) / float64(silentBefore)
+			held.reserved -= credit
+		}
+		total, reported := report.Spent[workspace]
+		delta := 0.0
+		if reported {
+			delta = held.mergeTotal(report.Source, total, s.sources[report.Source])
+		}
+		// Tokens that did not fit count for spending that is reported late, but not for
+		// a burst just now.
+		late := min(delta, max(0, held.overflow-held.rate.PerSecond*isolatedAfter.Seconds()))
+		held.level = min(held.rate.Burst, held.level+credit+late-delta)
+		if report.Primary {
+			held.overflow = 0
+			held.updateUse(now)
+			held.isolatedAt = time.Time{}
+		}
+	}
+	s.sources[report.Source] = true
+	if report.Primary {
+		s.reportedAt, s.heard = now, true
+	}
+}
+
+// setGateways takes the number of live gateways. One that is not heard of counts as
+// silent until gatewaysRetention has passed.
+func (s *bounded) setGateways(now time.Time, live int) {
+	if !s.heard || live >= s.gateways || now.Sub(s.gatewaysAt) > gatewaysRetention {
+		s.gateways, s.gatewaysAt = max(1, live), now
+	}
+	s.silent = s.gateways - max(1, live)
+}
+
+// mergeTotal takes a source's total and returns by how much it shows more spending than
+// was known. Several sources report the same spending.
+func (h *boundedBucket) mergeTotal(source string, total uint64, sourceKnown bool) float64 {
+	offset, known := h.offsets[source]
+	if !known {
+		if !sourceKnown {
+			offset = h.others - int64(total) //nolint:gosec // a count of requests
+		}
+		h.offsets[source] = offset
+	}
+	others := max(h.others, offset+int64(total)) //nolint:gosec // a count of requests
+	delta := others - h.others
+	h.others = others
+	return float64(delta)
+}
+
+// updateUse updates the use of this and of the other gateways. What this gateway has
+// spent counts one report later, as for the others.
+func (h *boundedBucket) updateUse(now time.Time) {
+	decay := math.Exp(-now.Sub(h.usedAt).Seconds() / useTimeConstant.Seconds())
+	h.ownUse *= decay
+	h.othersUse *= decay
+	h.usedAt = now
+	h.ownUse += float64(max(h.spent, h.newOwn) - h.newOwn)
+	h.othersUse += float64(h.others - h.newOthers)
+	h.newOwn, h.newOthers = h.spent, h.others
+}
+
+// part returns this gateway's part of the level.
+func (s *bounded) part(h *boundedBucket) float64 {
+	equal := 1 / float64(s.gateways)
+	use := (h.ownUse + usePrior*equal) / (h.ownUse + h.othersUse + usePrior)
+	return equalWeight*equal + (1-equalWeight)*use
+}
+
+// bucket returns the bucket of a workspace with the given rate.
+func (s *bounded) bucket(now time.Time, workspace string, rate Rate, debts map[string]float64) *boundedBucket {
+	held := s.buckets[workspace]
+	if held == nil {
+		held = &boundedBucket{rate: rate, level: rate.Burst - debts[workspace], filledAt: now, usedAt: now, offsets: make(map[string]int64)}
+		s.buckets[workspace] = held
+		return held
+	}
+	if held.rate != rate {
+		s.refill(now, held) // at the former rate
+		held.rate = rate
+		held.level = min(held.level, rate.Burst)
+	}
+	return held
+}
+
+// refill adds the tokens that have become due.
+func (s *bounded) refill(now time.Time, h *boundedBucket) {
+	if limit := s.reportedAt.Add(isolatedAfter); h.isolatedAt.IsZero() && !now.Before(limit) {
+		s.fill(limit, h)
+		h.isolatedAt = limit
+		h.isolated = max(0, min(s.isolatedBurst(h), s.allowance(limit, "", h)))
+		if !s.heard {
+			h.isolatedAt, h.isolated = now, 1
+		}
+	}
+	if !h.isolatedAt.IsZero() {
+		elapsed := max(0, now.Sub(h.isolatedAt)).Seconds()
+		h.isolated = min(s.isolatedBurst(h), h.isolated+elapsed*h.rate.PerSecond/float64(s.gateways))
+		h.isolatedAt = now
+	}
+	s.fill(now, h)
+}
+
+// fill adds tokens to the level.
+func (s *bounded) fill(now time.Time, h *boundedBucket) {
+	elapsed := now.Sub(h.filledAt).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	h.filledAt = now
+	silent := float64(s.silent) / float64(s.gateways)
+	h.reserved += h.rate.PerSecond * elapsed * silent
+	h.level += h.rate.PerSecond * elapsed * (1 - silent)
+	if over := h.level - h.rate.Burst; over > 0 {
+		h.overflow += over
+		h.level = h.rate.Burst
+	}
+}
+
+func (s *bounded) isolatedBurst(h *boundedBucket) float64 {
+	return max(1, h.rate.Burst/float64(s.gateways))
+}
+
+// allowance returns how many more tokens this gateway may spend now.
+//
+// What all may spend until they know of each other's spending is the level plus the
+// extra. The first tokens of it are divided one to each gateway, because small
+// workspaces have no more, the rest by part. A fraction of a token is drawn by lot, so
+// that parts below one token add up as well.
+func (s *bounded) allowance(now time.Time, workspace string, h *boundedBucket) float64 {
+	own := h.recentSpent(now)
+	available := h.level + own + s.bounds.extra(h.rate) - float64(s.silent)*s.isolatedBurst(h)
+	if available <= 0 {
+		return 0
+	}
+	gateways := float64(s.gateways)
+	share := min(available, gateways)/gateways + max(0, available-gateways)*s.part(h)
+	chance := lotChance
+	if share < 1 {
+		chance = smallLotChance
+	}
+	return math.Floor(share+chance*s.lot(now, workspace)) - own
+}
+
+// lot returns a number from 0 to 1 that stays the same for one ownWindow.
+func (s *bounded) lot(now time.Time, workspace string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(workspace)) // never fails
+	_, _ = h.Write(strconv.AppendInt(nil, now.UnixNano()/int64(ownWindow), 10))
+	x := (h.Sum64() ^ s.salt) * 0x9e3779b97f4a7c15 // spreads similar inputs (Fibonacci hashing)
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	return float64(x>>11) / (1 << 53)
+}
+
+// recentSpent returns the tokens spent within ownWindow.
+func (h *boundedBucket) recentSpent(now time.Time) float64 {
+	h.advance(now)
+	sum := uint32(0)
+	for _, count := range h.recent {
+		sum += count
+	}
+	return float64(sum)
+}
+
+// advance clears the entries that have become too old.
+func (h *boundedBucket) advance(now time.Time) {
+	slot := now.UnixNano() / int64(ownWindow/spentSlots)
+	for range min(spentSlots, slot-h.recentAt) {
+		h.recentAt++
+		h.recent[h.recentAt%spentSlots] = 0
+	}
+	h.recentAt = max(h.recentAt, slot)
+}
+
+// takeBounded spends a token of a workspace.
+func (b *Buckets) takeBounded(now time.Time, workspace string, rate Rate) (wait time.Duration, ok bool) {
+	s := b.bounded
+	held := s.bucket(now, workspace, rate, b.initialDebts)
+	s.refill(now, held)
+	allowed := held.isolated
+	if held.isolatedAt.IsZero() {
+		allowed = s.allowance(now, workspace, held)
+	} else {
+		allowed = min(allowed, held.level+s.bounds.extra(rate))
+	}
+	if allowed < 1 {
+		s.requestReport(now)
+		return s.returnAfter(now, held), false
+	}
+	if held.isolatedAt.IsZero() {
+		if allowed <= held.recentSpent(now) { // half of the part is spent
+			s.requestReport(now)
+		}
+	} else {
+		held.isolated--
+	}
+	held.level--
+	held.spent++
+	held.recent[held.slot(now)]++
+	s.spends++
+	return 0, true
+}
+
+// slot returns the index of the entry of recent for now.
+func (h *boundedBucket) slot(now time.Time) int64 {
+	h.advance(now)
+	return h.recentAt % spentSlots
+}
+
+// requestReport asks for a report before the next regular one.
+func (s *bounded) requestReport(now time.Time) {
+	if now.Sub(s.reportAt) >= reportAge/8 {
+		s.reportAt, s.reportDue = now, true
+	}
+}
+
+// ReportDue reports whether the other gateways should be told at once what this one has
+// spent. It returns true once.
+func (b *Buckets) ReportDue() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.bounded == nil || !b.bounded.reportDue {
+		return false
+	}
+	b.bounded.reportDue = false
+	return true
+}
+
+// Spends returns the number of tokens that this process has spent, if it has bounds.
+func (b *Buckets) Spends() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.bounded == nil {
+		return 0
+	}
+	return b.bounded.spends
+}
+
+// returnAfter returns the time after which a refused caller should return. The times
+// of successive callers are this gateway's part of the rate apart; they start over at
+// maxReturnWait.
+func (s *bounded) returnAfter(now time.Time, h *boundedBucket) time.Duration {
+	perSecond := h.rate.PerSecond * s.part(h)
+	if !h.isolatedAt.IsZero() {
+		perSecond = h.rate.PerSecond / float64(s.gateways)
+	}
+	step := time.Duration(float64(time.Second) / max(perSecond, 1e-3))
+	soonest := now.Add(min(step, maxReturnWait))
+	at := h.nextReturn
+	if at.Before(soonest) || at.After(now.Add(maxReturnWait)) {
+		at = soonest
+	}
+	h.nextReturn = at.Add(step)
+	return at.Sub(now)
+}
+
+// returnBounded returns a token whose request did not run.
+func (s *bounded) returnToken(workspace string) {
+	held := s.buckets[workspace]
+	if held == nil || held.spent == 0 {
+		return
+	}
+	held.level++
+	held.spent--
+	for i := range held.recent {
+		if slot := &held.recent[(held.recentAt+spentSlots-int64(i))%spentSlots]; *slot > 0 {
+			*slot--
+			return
+		}
+	}
+}
+
+// debts returns how many tokens each bucket that is not full lacks.
+func (s *bounded) debts(now time.Time) map[string]float64 {
+	debts := make(map[string]float64)
+	for workspace, held := range s.buckets {
+		s.refill(now, held)
+		if debt := held.rate.Burst - held.level; debt >= minReportedDebt {
+			debts[workspace] = debt
+		}
+	}
+	return debts
+}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -4,7 +4,8 @@
 // deducts what the others report as spent. Between two reports the gateways
 // together may overspend by what arrives in that time; a gateway that receives no
 // reports limits itself to its share of the rate. Package limit is exact instead,
-// but refuses requests while its owner is unavailable.
+// but refuses requests while its owner is unavailable. With SetBounds, the gateways
+// together keep to a bound whatever reports arrive.
 //
 // The package reads no clock. It is safe for concurrent use.
 package quota
@@ -35,6 +36,7 @@
 	buckets      map[string]*bucket
 	rateDivisor  float64            // number of gateways that share the rates; 1 while reports of the others arrive
 	initialDebts map[string]float64 // of the other gateways when this process started; nil: not known yet
+	bounded      *bounded           // nil: no bounds
 }
 
 // bucket is this gateway's token bucket of one workspace.
@@ -59,6 +61,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.bounded != nil {
+		return b.takeBounded(now, workspace, rate)
+	}
 	held := b.bucket(now, workspace, rate)
 	held.refill(now, rate, b.rateDivisor)
 	if held.level < 1 {
@@ -74,6 +79,10 @@
 func (b *Buckets) Return(workspace string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.bounded != nil {
+		b.bounded.returnToken(workspace)
+		return
+	}
 	if held := b.buckets[workspace]; held != nil && held.spent > 0 {
 		held.level++
 		held.spent--
@@ -86,6 +95,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	spent := make(map[string]uint64, len(b.buckets))
+	if b.bounded != nil {
+		for workspace, held := range b.bounded.buckets {
+			spent[workspace] = held.spent
+		}
+		return spent
+	}
 	for workspace, held := range b.buckets {
 		spent[workspace] = held.spent
 	}
@@ -134,6 +149,9 @@
 func (b *Buckets) Debts(now time.Time) map[string]float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.bounded != nil {
+		return b.bounded.debts(now)
+	}
 	debts := make(map[string]float64)
 	for workspace, held := range b.buckets {
 		if math.IsNaN(held.level) {
@@ -159,6 +177,12 @@
 	if debts == nil {
 		b.initialDebts = make(map[string]float64)
 	}
+	if b.bounded != nil {
+		for workspace, held := range b.bounded.buckets {
+			held.level = min(held.level, held.rate.Burst-debts[workspace])
+		}
+		return
+	}
 	for workspace, held := range b.buckets {
 		if !math.IsNaN(held.level) {
 			held.level = held.rate.Burst - debts[workspace]
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -99,7 +99,8 @@
 // FollowPing reports the subscriber's load to a control host.
 type FollowPing struct {
 	Load           MemberLoad `msgpack:"l"`
-	WantsPeerLoads bool       `msgpack:"o"` // requests the aggregated load of the other processes
+	WantsPeerLoads bool       `msgpack:"o"`           // requests the aggregated load of the other processes
+	PeerLoadsOften bool       `msgpack:"p,omitempty"` // at the shortest interval, because the subscriber keeps to bounds of quotas
 	// AcceptsEarly, in the first ping, requests the catalog even before a quorum has
 	// confirmed it.
 	AcceptsEarly bool `msgpack:"e,omitempty"`
@@ -114,6 +115,7 @@
 	Debts           map[string]float64        `msgpack:"d,omitempty"` // by workspace: the largest debt at any gateway; until the first push with gateways
 	Members         int                       `msgpack:"n"`           // processes, not counting the subscriber
 	Gateways        int                       `msgpack:"g"`           // gateways among them
+	GatewaysHeard   int                       `msgpack:"r,omitempty"` // gateways among them that have reported very lately
 }
 
 // TargetReport is a target's report and the time since its arrival.
--- a/services/director/board.go
+++ b/services/director/board.go
@@ -22,6 +22,9 @@
 	memberTimeout = 5 * time.Second
 	// loadTimeout is how long the load of a silent process still counts.
 	loadTimeout = 2 * time.Second
+	// heardTimeout is how long a gateway counts as heard after a report. Idle gateways
+	// report every 500 ms.
+	heardTimeout = 800 * time.Millisecond
 	// spentRetention is how long the tokens spent by a process count after its
 	// last report. The sum must not jump when a silent process reports again.
 	spentRetention = 10 * time.Minute
--- a/services/director/follow.go
+++ b/services/director/follow.go
@@ -42,14 +42,15 @@
 	name := first.Load.Member.Name
 	s.log.Info("follower_joined", "member", name, "role", first.Load.Member.Role, "member_process", first.Load.Member.Incarnation)
 	s.registry.reportMember(time.Now(), first.Load)
-	var wantsPeerLoads atomic.Bool
+	var wantsPeerLoads, peerLoadsOften atomic.Bool
+	peerLoadsOften.Store(first.PeerLoadsOften)
 	var timesAsked atomic.Uint64
 	wantsPeerLoads.Store(first.WantsPeerLoads)
 	var wg conc.WaitGroup
 	wg.Go(func() {
 		defer stream.Close()
 		s.push(ctx, &pusher{server: s, stream: stream, name: name, acceptsEarly: first.AcceptsEarly, wantsPeerLoads: &wantsPeerLoads,
-			timesAsked: &timesAsked})
+			peerLoadsOften: &peerLoadsOften, timesAsked: &timesAsked})
 	})
 	defer wg.Wait()
 	defer cancel()
@@ -60,6 +61,7 @@
 			return nil
 		}
 		s.registry.reportMember(time.Now(), ping.Load)
+		peerLoadsOften.Store(ping.PeerLoadsOften)
 		if !wantsPeerLoads.Swap(ping.WantsPeerLoads) && ping.WantsPeerLoads {
 			timesAsked.Add(1)
 		}
@@ -97,6 +99,7 @@
 	stream             *wire.Stream
 	name               string
 	wantsPeerLoads     *atomic.Bool   // the follower asks for the aggregate of the other processes
+	peerLoadsOften     *atomic.Bool   // at the shortest interval
 	timesAsked         *atomic.Uint64 // how often it has begun to ask
 	spentSentFor       uint64         // timesAsked for which sentSpent holds
 	sentSpent          map[string]uint64
@@ -174,11 +177,11 @@
 	push.StorageHosts = hosts
 }
 
-// addPeerLoads adds the aggregate of the other processes. The broker needs it most
-// often.
+// addPeerLoads adds the aggregate of the other processes. The broker and gateways that
+// keep to bounds of quotas need it most often.
 func (p *pusher) addPeerLoads(now time.Time, push *rpc.FollowPush) {
 	interval := peerLoadsInterval
-	if p.server.registry.isStorageLeader(p.name) {
+	if p.peerLoadsOften.Load() || p.server.registry.isStorageLeader(p.name) {
 		interval = pushInterval
 	}
 	if !p.wantsPeerLoads.Load() || now.Sub(p.peerLoadsSentAt) < interval {
--- a/services/director/sums.go
+++ b/services/director/sums.go
@@ -16,12 +16,14 @@
 // can be taken off. Each follower needs the sum of the others; adding all members up
 // for each follower would cost their number squared.
 type loadSums struct {
-	at       time.Time
-	brokerID uint64
-	members  int
-	gateways int
-	loads    map[string]placement.Load
-	included map[string]*rpc.MemberLoad // by member
+	at        time.Time
+	brokerID  uint64
+	members   int
+	gateways  int
+	heard     int // gateways that have reported within heardTimeout
+	loads     map[string]placement.Load
+	included  map[string]*rpc.MemberLoad // by member
+	heardFrom map[string]bool            // gateways that heard counts
 }
 
 // sumPeerLoads aggregates the loads and quota use of all members but one. The loads
@@ -30,12 +32,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refreshSums(now)
-	sum := &rpc.PeerLoads{HostIncarnation: r.hostIncarnation, BrokerID: r.sums.brokerID, Members: r.sums.members, Gateways: r.sums.gateways,
+	sum := &rpc.PeerLoads{HostIncarnation: r.hostIncarnation, BrokerID: r.sums.brokerID, Members: r.sums.members, Gateways: r.sums.gateways, GatewaysHeard: r.sums.heard,
 		Spent: r.spentByOthers(except), Loads: maps.Clone(r.sums.loads)}
 	if own := r.sums.included[except]; own != nil {
 		sum.Members--
 		if own.Member.Role == rpc.RoleGateway {
 			sum.Gateways--
+			if r.sums.heardFrom[except] {
+				sum.GatewaysHeard--
+			}
 		}
 		subtractLoads(sum, own)
 	}
@@ -48,7 +53,8 @@
 	if age := now.Sub(r.sums.at); r.sums.loads != nil && age >= 0 && age < sumsInterval {
 		return
 	}
-	sums := loadSums{at: now, brokerID: r.brokerID(now), loads: make(map[string]placement.Load), included: make(map[string]*rpc.MemberLoad)}
+	sums := loadSums{at: now, brokerID: r.brokerID(now), loads: make(map[string]placement.Load), included: make(map[string]*rpc.MemberLoad),
+		heardFrom: make(map[string]bool)}
 	for member, m := range r.members {
 		if now.Sub(m.reportedAt) > loadTimeout || m.load.Member.Role == rpc.RoleControl {
 			continue
@@ -56,6 +62,10 @@
 		sums.members++
 		if m.load.Member.Role == rpc.RoleGateway {
 			sums.gateways++
+			if now.Sub(m.reportedAt) <= heardTimeout {
+				sums.heard++
+				sums.heardFrom[member] = true
+			}
 		}
 		sums.included[member] = &m.load
 		for id, at := range m.load.Loads {
--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -172,7 +172,16 @@
 		return 0, true
 	}
 	rate := quota.Rate{PerSecond: c.workspace.RatePerSecond, Burst: c.workspace.Burst}
-	return s.follower.Buckets.Take(c.started, c.workspace.Name, rate)
+	now := c.started
+	if s.follower.Buckets.Bounded() {
+		now = s.follower.QuotaNow()
+	}
+	wait, ok = s.follower.Buckets.Take(now, c.workspace.Name, rate)
+	if s.follower.Buckets.ReportDue() {
+		s.metrics.earlyReports.Inc(1)
+		s.follower.ReportNow()
+	}
+	return wait, ok
 }
 
 // refuse answers a request with a failure.
--- a/services/follow/feed.go
+++ b/services/follow/feed.go
@@ -95,11 +95,11 @@
 // sendReports sends this process's load to the control host until the stream
 // fails or ctx ends.
 func (f *Follower) sendReports(ctx context.Context, addr string, stream *wire.Stream, acceptsChanges *atomic.Bool) {
-	var changes reportChanges
+	changes := reportChanges{bounded: f.Buckets.Bounded()}
 	var sentAt time.Time
 	var sentLoads map[string]placement.Load
 	sentWantsPeerLoads := false
-	sentLimitSequence := uint64(0)
+	sentLimitSequence, sentSpends := uint64(0), uint64(0)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -115,16 +115,18 @@
 		loads := f.ownLoads(f.brokerID())
 		wantsPeerLoads := f.wantsPeerLoads(addr)
 		limitSequence := f.Targets.LimitSequence()
-		if maps.Equal(loads, sentLoads) && limitSequence == sentLimitSequence && wantsPeerLoads == sentWantsPeerLoads && time.Since(sentAt) < idleReportInterval {
+		spends := f.Buckets.Spends()
+		if maps.Equal(loads, sentLoads) && spends == sentSpends && limitSequence == sentLimitSequence && wantsPeerLoads == sentWantsPeerLoads && time.Since(sentAt) < idleReportInterval {
 			continue
 		}
 		load := f.memberLoad()
 		if acceptsChanges.Load() {
 			changes.reduce(time.Now(), &load)
 		}
-		if err := stream.Send(&rpc.FollowPing{Load: load, WantsPeerLoads: wantsPeerLoads, AcceptsEarly: f.cfg.AcceptEarly}); err != nil {
+		if err := stream.Send(&rpc.FollowPing{Load: load, WantsPeerLoads: wantsPeerLoads, PeerLoadsOften: f.Buckets.Bounded(), AcceptsEarly: f.cfg.AcceptEarly}); err != nil {
 			return
 		}
+		sentSpends = spends
 		sentAt, sentLoads, sentWantsPeerLoads, sentLimitSequence = time.Now(), loads, wantsPeerLoads, limitSequence
 	}
 }
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -56,6 +56,9 @@
 	// WithoutPeerLoads is set for processes that do not need the aggregate of the
 	// other processes' loads and quota use.
 	WithoutPeerLoads bool
+	// Quota bounds by how much all gateways together may exceed rates and bursts; nil:
+	// no bounds.
+	Quota *quota.Bounds
 	// AcceptEarly is set for processes that may act on a catalog that is older than
 	// the newest one, until a control host has confirmed it.
 	AcceptEarly bool
@@ -84,6 +87,7 @@
 	lastPushes             map[string]time.Time // time of the last push, by control host
 	lastPush               time.Time            // time of the last push of any control host
 	primary                string               // control host that is asked for the aggregate of the other processes
+	backup                 string               // asked too, by processes that keep to bounds of quotas
 	disconnected           bool
 	controlHosts           map[string]bool // wire addresses of the followed control hosts
 	addedControlHosts      chan string
@@ -106,6 +110,9 @@
 		addedControlHosts: make(chan string, maxControlHosts),
 		changed:           make(chan struct{}),
 	}
+	if cfg.Quota != nil {
+		f.Buckets.SetBounds(*cfg.Quota, cfg.Member.Incarnation)
+	}
 	f.catalog.Store(&catalog.State{})
 	f.verdicts.Store(&map[quarantine.Ref]Verdict{})
 	f.confirmed.Store(int64(boottime.Never))
@@ -215,6 +222,14 @@
 	}
 }
 
+// QuotaNow returns the time for Buckets. With bounds, it also counts suspensions.
+func (f *Follower) QuotaNow() time.Time {
+	if f.Buckets.Bounded() {
+		return time.Unix(0, int64(boottime.Now()))
+	}
+	return time.Now()
+}
+
 // ReportNow makes the process report its load immediately.
 func (f *Follower) ReportNow() { f.wakeReporters() }
 
@@ -242,7 +257,7 @@
 		Sequence: f.sequence.Add(1),
 		Spent:    f.Buckets.Spent(),
 		Loads:    f.ownLoads(broker),
-		Debts:    f.Buckets.Debts(time.Now()),
+		Debts:    f.Buckets.Debts(f.QuotaNow()),
 		BrokerID: broker,
 		Limits:   f.Targets.LimitReports(time.Now()),
 	}
--- a/services/follow/merge.go
+++ b/services/follow/merge.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"banyanwalk/core/placement"
+	"banyanwalk/core/quota"
 	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
 	"banyanwalk/infra/boottime"
@@ -26,6 +27,9 @@
 	}
 	f.mergeVerdicts(now, from, push.Verdicts)
 	f.lastPushes[from] = now
+	if f.primary == "" && f.Buckets.Bounded() { // a gateway that has just started may spend little until it hears of the others
+		f.choosePrimary(now)
+	}
 	if push.ConfirmedAgeMS != nil {
 		f.mergeConfirmedAge(time.Duration(*push.ConfirmedAgeMS) * time.Millisecond)
 	}
@@ -34,7 +38,7 @@
 		viewChanged = true
 	}
 	if push.PeerLoads != nil {
-		f.mergePeerLoads(now, push.PeerLoads)
+		f.mergePeerLoads(now, from, push.PeerLoads)
 	}
 	if viewChanged {
 		close(f.changed)
@@ -85,6 +89,9 @@
 			f.cfg.Log.Error("document_unreadable", "version", state.Version, "from", from, "error", err)
 			return false
 		}
+		if f.Buckets.Bounded() {
+			f.Buckets.SetRates(f.QuotaNow(), workspaceRates(document))
+		}
 		f.table.Store(routing.Compile(document))
 	}
 	f.catalog.Store(state)
@@ -94,6 +101,15 @@
 	return true
 }
 
+func workspaceRates(document *routing.Document) map[string]quota.Rate {
+	rates := make(map[string]quota.Rate, len(document.Workspaces))
+	for i := range document.Workspaces {
+		w := &document.Workspaces[i]
+		rates[w.Name] = quota.Rate{PerSecond: w.RatePerSecond, Burst: w.Burst}
+	}
+	return rates
+}
+
 // mergeConfirmedAge records the age of a confirmed catalog. The caller holds the
 // lock.
 func (f *Follower) mergeConfirmedAge(age time.Duration) {
@@ -126,12 +142,16 @@
 }
 
 // mergePeerLoads takes the aggregate of the other processes' loads and quota use.
-func (f *Follower) mergePeerLoads(now time.Time, peers *rpc.PeerLoads) {
-	if f.peerLoads != nil && f.peerLoads.HostIncarnation != peers.HostIncarnation {
+func (f *Follower) mergePeerLoads(now time.Time, from string, peers *rpc.PeerLoads) {
+	if !f.Buckets.Bounded() && f.peerLoads != nil && f.peerLoads.HostIncarnation != peers.HostIncarnation {
 		f.Buckets.ForgetSource(aggregatorID(f.peerLoads))
 	}
 	f.peerLoads, f.peerLoadsReceivedAt = peers, now
-	f.Buckets.ApplyReport(aggregatorID(peers), peers.Spent)
+	if f.Buckets.Bounded() {
+		f.Buckets.ApplyPeers(f.QuotaNow(), quota.PeerReport{Source: aggregatorID(peers), Spent: peers.Spent, Primary: from == f.primary, Live: peers.GatewaysHeard + 1})
+	} else {
+		f.Buckets.ApplyReport(aggregatorID(peers), peers.Spent)
+	}
 	if peers.Gateways > 0 {
 		f.Buckets.ApplyInitialDebts(peers.Debts)
 	}
--- a/services/follow/watch.go
+++ b/services/follow/watch.go
@@ -25,6 +25,7 @@
 // other processes.
 func (f *Follower) choosePrimary(now time.Time) {
 	if now.Sub(f.lastPushes[f.primary]) <= primaryTimeout {
+		f.chooseBackup(now)
 		return
 	}
 	previous := f.primary
@@ -41,6 +42,23 @@
 		f.cfg.Log.Info("control_primary_changed", "before", previous, "primary", f.primary)
 		f.wakeReporters()
 	}
+	f.chooseBackup(now)
+}
+
+// chooseBackup picks a second control host to ask, for processes that keep to bounds of
+// quotas: what is spent while the primary is replaced must not be missed.
+func (f *Follower) chooseBackup(now time.Time) {
+	if !f.Buckets.Bounded() || f.backup != f.primary && now.Sub(f.lastPushes[f.backup]) <= primaryTimeout {
+		return
+	}
+	f.backup = ""
+	for _, addr := range slices.Sorted(maps.Keys(f.lastPushes)) {
+		if addr != f.primary && now.Sub(f.lastPushes[addr]) <= primaryTimeout {
+			f.backup = addr
+			f.wakeReporters()
+			return
+		}
+	}
 }
 
 // wantsPeerLoads reports whether to ask a control host for the aggregate of the
@@ -48,7 +66,7 @@
 func (f *Follower) wantsPeerLoads(addr string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.primary == addr && !f.cfg.WithoutPeerLoads
+	return (f.primary == addr || f.backup == addr) && !f.cfg.WithoutPeerLoads
 }
 
 func (f *Follower) checkDisconnected(now time.Time) {
