Targets that say that they leave get no further requests

A target said in its responses that it leaves (Server-Leaving), nobody read it, and it got requests until its next report had spread, or for ever if that still said ready.

targetcall reads the header before a response is passed on; core/roster marks that process as draining for good, so that online requests, items and the broker's grants stop at once on this host. Control hosts pass it on as an urgent push. Gateways give back grants of a broker that does not know yet. A health check with 503 counts as draining.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -52,6 +52,7 @@
 	Report
 	ReceivedAt time.Time // when the report arrived, minus the time that it was held elsewhere before
 	ColdUntil  time.Time // zero: warm
+	Leaving    bool      // this process of the target is leaving; it never becomes ready again
 }
 
 // MergeResult tells whether a report was applied and what it changed.
@@ -66,13 +67,14 @@
 
 // Roster is the set of known targets. It is not safe for concurrent use.
 type Roster struct {
-	byID   map[string]*Record
-	byAddr map[string]*Record
+	byID    map[string]*Record
+	byAddr  map[string]*Record
+	leaving map[string]leavingProcess // by target; also of targets without a record
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{byID: make(map[string]*Record), byAddr: make(map[string]*Record)}
+	return &Roster{byID: make(map[string]*Record), byAddr: make(map[string]*Record), leaving: make(map[string]leavingProcess)}
 }
 
 // Merge applies a report that arrived at receivedAt.
@@ -98,6 +100,7 @@
 	if report.ColdFor > 0 {
 		next.ColdUntil = receivedAt.Add(report.ColdFor)
 	}
+	r.applyLeaving(next)
 	result := Changed
 	if known != nil {
 		if known.Incarnation == report.Incarnation {
@@ -183,6 +186,7 @@
 			}
 		}
 	}
+	r.expireLeaving(oldest)
 	return expired
 }
 
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -94,6 +94,7 @@
 	ChangesOnly bool                      `msgpack:"x,omitempty"`
 	Debts       map[string]float64        `msgpack:"d,omitempty"` // by workspace: tokens by which its bucket is overdrawn
 	Limits      []placement.LimitReport   `msgpack:"e,omitempty"` // that targets have named to this process
+	Leaving     []roster.Leaving          `msgpack:"v,omitempty"` // processes of targets that have said that they leave
 }
 
 // FollowPing reports the subscriber's load to a control host.
@@ -120,9 +121,10 @@
 
 // TargetReport is a target's report and the time since its arrival.
 type TargetReport struct {
-	Report roster.Report          `msgpack:"r"`
-	AgeMS  int64                  `msgpack:"a"`           // milliseconds
-	Limit  *placement.LimitReport `msgpack:"l,omitempty"` // newest reading of the limit that the target names; nil: it never named one
+	Report  roster.Report          `msgpack:"r"`
+	AgeMS   int64                  `msgpack:"a"`           // milliseconds
+	Limit   *placement.LimitReport `msgpack:"l,omitempty"` // newest reading of the limit that the target names; nil: it never named one
+	Leaving bool                   `msgpack:"v,omitempty"` // the process has said that it leaves
 }
 
 // FollowPush carries the changes since the previous push. The first one carries the
--- a/services/director/board.go
+++ b/services/director/board.go
@@ -141,6 +141,9 @@
 	}
 	r.members[load.Member.Name] = record
 	r.mergeLimits(now, record)
+	for _, leaving := range load.Leaving {
+		r.recordChange(now, leaving.Target, r.roster.MarkLeaving(now, leaving.Target, leaving.Incarnation))
+	}
 	if previous == nil || previous.load.Member.Incarnation != load.Member.Incarnation || !sameStorage(previous.load.Member.Storage, load.Member.Storage) {
 		r.notifyLocked()
 	}
@@ -238,7 +241,7 @@
 		if changed <= revision || record == nil {
 			continue
 		}
-		target := rpc.TargetReport{Report: record.Report, AgeMS: now.Sub(record.ReceivedAt).Milliseconds()}
+		target := rpc.TargetReport{Report: record.Report, AgeMS: now.Sub(record.ReceivedAt).Milliseconds(), Leaving: record.Leaving}
 		if limit, found := r.limits[id]; found {
 			report := limit.report
 			report.AgeMS = now.Sub(limit.readAt).Milliseconds()
--- a/services/director/recall.go
+++ b/services/director/recall.go
@@ -31,6 +31,7 @@
 type HealthHeaders struct {
 	Target  string // id of the target
 	ColdFor string // milliseconds for which it stays cold; absent: it is warm
+	Leaving string // "1": the target leaves
 }
 
 // recallTargets asks the targets that this host knew before it stopped whether they
@@ -62,6 +63,9 @@
 // recall merges the last report of a target if the target confirms that it runs.
 func (s *Server) recall(report roster.Report, path string) {
 	coldFor, err := probe(report.Addr, path, report.ID, s.cfg.Health)
+	if errors.Is(err, errDraining) {
+		report.State, err = roster.Draining, nil
+	}
 	s.log.Info("target_recalled", "target", report.ID, "addr", report.Addr, "cold_ms", coldFor.Milliseconds(),
 		"after_ms", time.Since(s.startedAt).Milliseconds(), "error", err)
 	if err != nil {
@@ -71,6 +75,9 @@
 	s.Report(report)
 }
 
+// errDraining means that a target answered that it takes no requests.
+var errDraining = errors.New("the target drains")
+
 // healthPaths returns the health path of each service of the document, as soon as
 // the log has been replayed that far.
 func (s *Server) healthPaths(ctx context.Context) map[string]string {
@@ -108,12 +115,16 @@
 	if err := client.DoTimeout(request, response, probeTimeout); err != nil {
 		return 0, errors.Wrap(err, "ask target")
 	}
-	if response.StatusCode() != http.StatusOK {
+	draining := response.StatusCode() == http.StatusServiceUnavailable || headers.Leaving != "" && string(response.Header.Peek(headers.Leaving)) == "1"
+	if response.StatusCode() != http.StatusOK && !draining {
 		return 0, errors.Newf("status %d", response.StatusCode())
 	}
 	if found := string(response.Header.Peek(headers.Target)); found != id {
 		return 0, errors.Newf("target %q has the address", found)
 	}
+	if draining {
+		return 0, errDraining
+	}
 	value := response.Header.Peek(headers.ColdFor)
 	if len(value) == 0 {
 		return 0, nil
--- a/services/entry/slots.go
+++ b/services/entry/slots.go
@@ -24,6 +24,9 @@
 	// releaseBatchDelay lets releases that occur together share a message.
 	releaseBatchDelay = 2 * time.Millisecond
 	releaseTimeout    = 500 * time.Millisecond
+	// maxLeavingGrants bounds how many grants of targets that leave are given back. The
+	// broker may know of them later than this gateway.
+	maxLeavingGrants = 3
 )
 
 // slots acquires and releases slots at targets. It asks the broker, which knows
@@ -61,9 +64,16 @@
 
 // acquire returns a slot, or the reason why there is none.
 func (s *slots) acquire(ctx context.Context, request *rpc.SlotRequest, q placement.Query) (*slot, *outcome.Error) {
-	granted, failure := s.askBroker(ctx, request, q)
-	if granted != nil || failure != nil {
-		return granted, failure
+	for range maxLeavingGrants {
+		granted, failure := s.askBroker(ctx, request, q)
+		if granted == nil && failure == nil {
+			break
+		}
+		if failure != nil || !granted.target.Leaving {
+			return granted, failure
+		}
+		s.release(granted, false)
+		q.Exclude[granted.target.ID] = true
 	}
 	return s.acquireDirectly(q)
 }
@@ -94,6 +104,7 @@
 	}
 	request.ID = rpc.SlotID{Incarnation: s.follower.Incarnation(), Number: s.lastNumber.Add(1)}
 	request.Service = q.Service
+	request.Exclude = request.Exclude[:0]
 	for id := range q.Exclude {
 		request.Exclude = append(request.Exclude, id)
 	}
--- a/services/follow/feed.go
+++ b/services/follow/feed.go
@@ -99,7 +99,7 @@
 	var sentAt time.Time
 	var sentLoads map[string]placement.Load
 	sentWantsPeerLoads := false
-	sentLimitSequence, sentSpends := uint64(0), uint64(0)
+	sentLimitSequence, sentSpends, sentLeavings := uint64(0), uint64(0), uint64(0)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -115,8 +115,8 @@
 		loads := f.ownLoads(f.brokerID())
 		wantsPeerLoads := f.wantsPeerLoads(addr)
 		limitSequence := f.Targets.LimitSequence()
-		spends := f.Buckets.Spends()
-		if maps.Equal(loads, sentLoads) && spends == sentSpends && limitSequence == sentLimitSequence && wantsPeerLoads == sentWantsPeerLoads && time.Since(sentAt) < idleReportInterval {
+		spends, leavings := f.Buckets.Spends(), f.leavings.Load()
+		if maps.Equal(loads, sentLoads) && spends == sentSpends && leavings == sentLeavings && limitSequence == sentLimitSequence && wantsPeerLoads == sentWantsPeerLoads && time.Since(sentAt) < idleReportInterval {
 			continue
 		}
 		load := f.memberLoad()
@@ -126,7 +126,7 @@
 		if err := stream.Send(&rpc.FollowPing{Load: load, WantsPeerLoads: wantsPeerLoads, PeerLoadsOften: f.Buckets.Bounded(), AcceptsEarly: f.cfg.AcceptEarly}); err != nil {
 			return
 		}
-		sentSpends = spends
+		sentSpends, sentLeavings = spends, leavings
 		sentAt, sentLoads, sentWantsPeerLoads, sentLimitSequence = time.Now(), loads, wantsPeerLoads, limitSequence
 	}
 }
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -94,6 +94,7 @@
 	changed                chan struct{} // closed and replaced after each change of the view
 
 	sequence  atomic.Uint64
+	leavings  atomic.Uint64                 // number of targets that have said to this process that they leave
 	reportNow atomic.Pointer[chan struct{}] // closed and replaced to make all streams report immediately
 }
 
@@ -245,6 +246,29 @@
 	}
 }
 
+// ObserveLeaving records that a response of a target said that it leaves. From its return
+// on, no request is sent there.
+func (f *Follower) ObserveLeaving(now time.Time, target *roster.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.roster.IsLeaving(target.ID, target.Incarnation) {
+		return
+	}
+	if f.roster.MarkLeaving(now, target.ID, target.Incarnation) == roster.Changed {
+		f.Targets.SetRecords(f.roster.All())
+	}
+	f.notifyChanged()
+	f.leavings.Add(1)
+	f.wakeReporters()
+	f.cfg.Log.Info("target_leaving_read", "target", target.ID, "target_incarnation", target.Incarnation)
+}
+
+func (f *Follower) leavingTargets() []roster.Leaving {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.AllLeaving()
+}
+
 // memberLoad returns this process's report about itself.
 func (f *Follower) memberLoad() rpc.MemberLoad {
 	member := f.cfg.Member
@@ -260,6 +284,7 @@
 		Debts:    f.Buckets.Debts(f.QuotaNow()),
 		BrokerID: broker,
 		Limits:   f.Targets.LimitReports(time.Now()),
+		Leaving:  f.leavingTargets(),
 	}
 }
 
--- a/services/follow/merge.go
+++ b/services/follow/merge.go
@@ -41,11 +41,16 @@
 		f.mergePeerLoads(now, from, push.PeerLoads)
 	}
 	if viewChanged {
-		close(f.changed)
-		f.changed = make(chan struct{})
+		f.notifyChanged()
 	}
 }
 
+// notifyChanged tells that the view has changed. The caller holds the lock.
+func (f *Follower) notifyChanged() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 // mergeCatalog takes the catalog of a push. An early one counts only until a
 // confirmed one has come.
 func (f *Follower) mergeCatalog(from string, push *rpc.FollowPush) bool {
@@ -123,6 +128,10 @@
 	for i := range reports {
 		reportedAt := now.Add(-time.Duration(reports[i].AgeMS) * time.Millisecond)
 		report := reports[i].Report
+		if reports[i].Leaving && f.roster.MarkLeaving(now, report.ID, report.Incarnation) == roster.Changed {
+			changed = true
+			f.cfg.Log.Info("target_leaving_taken", "target", report.ID, "target_incarnation", report.Incarnation)
+		}
 		if f.roster.Merge(reportedAt, report) != roster.Changed {
 			continue
 		}
--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -32,6 +32,7 @@
 	Reset         bool // with Unframed: reset the connection at the end instead of closing it
 	// ContentEncoding is a header that the response body does not live up to.
 	ContentEncoding string
+	Leaving         string        // what the target says in its responses about leaving; empty: nothing
 	RateLimit       string        // requests per second that the target names in its responses; empty: none
 	NoSignature     bool          // omit the signature header
 	Pause           time.Duration // between two events, before a plain response, and before a crash
@@ -78,7 +79,7 @@
 func HeaderNames() targetcall.HeaderNames {
 	return targetcall.HeaderNames{
 		RequestID: "X-Id", Deadline: "X-Deadline", Expect: "X-Expect", Workspace: "X-Workspace", LastEventID: "Last-Event-Id", Resumes: "X-Resumes",
-		NotRun: "X-Not-Run", Signature: "X-Signature", RateLimit: "X-Rate-Limit", Key: "X-Key",
+		NotRun: "X-Not-Run", Signature: "X-Signature", RateLimit: "X-Rate-Limit", Leaving: "X-Leaving", Key: "X-Key",
 	}
 }
 
@@ -163,6 +164,9 @@
 	t.mu.Lock()
 	behaviour := t.behaviour(id)
 	t.mu.Unlock()
+	if behaviour.Leaving != "" {
+		w.Header().Set(t.headers.Leaving, behaviour.Leaving)
+	}
 	if behaviour.RateLimit != "" {
 		w.Header().Set(t.headers.RateLimit, behaviour.RateLimit)
 	}
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -152,6 +152,7 @@
 		resp.Close()
 		return nil, err
 	}
+	c.observeLeaving(target, resp)
 	c.observeLimit(target, resp)
 	if err := c.checkResponse(r, resp); err != nil {
 		resp.drain()
--- a/services/targetcall/limit.go
+++ b/services/targetcall/limit.go
@@ -10,8 +10,10 @@
 	"banyanwalk/core/roster"
 )
 
-// LimitObserver learns which rate limits targets name in their responses.
+// LimitObserver learns what targets say of themselves in their responses, such as their
+// rate limits.
 type LimitObserver interface {
+	LeavingObserver
 	// ObserveLimit is told the requests per second that the target takes from all
 	// processes together; 0 means that its response named no limit.
 	ObserveLimit(now time.Time, target *roster.Record, perSecond float64)
--- a/services/targetcall/limit_test.go
+++ b/services/targetcall/limit_test.go
@@ -17,6 +17,8 @@
 	*o = append(*o, perSecond)
 }
 
+func (o *observedLimits) ObserveLeaving(time.Time, *roster.Record) {}
+
 func TestLimitsInResponses(t *testing.T) {
 	for name, test := range map[string]struct {
 		status int
