--- a/core/quota/bounded.go
+++ b/core/quota/bounded.go
@@ -72,6 +72,7 @@
 type bounded struct {
 	bounds     Bounds
 	salt       uint64 // differs between the gateways
+	startedAt  time.Time
 	reportedAt time.Time
 	heard      bool // a primary has reported
 	gateways   int  // that share the rates; including silent ones
@@ -112,8 +113,8 @@
 // SetBounds makes the buckets keep to bounds over all gateways together. The salt must
 // differ between the gateways. Callers pass times of a clock that counts suspensions.
 // It must be called before any other method.
-func (b *Buckets) SetBounds(bounds Bounds, salt uint64) {
-	b.bounded = &bounded{bounds: bounds, salt: salt, gateways: assumedGateways, sources: make(map[string]bool), buckets: make(map[string]*boundedBucket)}
+func (b *Buckets) SetBounds(now time.Time, bounds Bounds, salt uint64) {
+	b.bounded = &bounded{bounds: bounds, salt: salt, startedAt: now, gateways: assumedGateways, sources: make(map[string]bool), buckets: make(map[string]*boundedBucket)}
 }
 
 // Bounded reports whether SetBounds was called.
@@ -275,7 +276,7 @@
 // workspaces have no more, the rest by part. A fraction of a token is drawn by lot, so
 // that parts below one token add up as well.
 func (s *bounded) allowance(now time.Time, workspace string, h *boundedBucket) float64 {
-	own := h.recentSpent(now)
+	own := h.recentSpent(s.slot(now))
 	available := h.level + own + s.bounds.extra(h.rate) - float64(s.silent)*s.isolatedBurst(h)
 	if available <= 0 {
 		return 0
@@ -293,7 +294,7 @@
 func (s *bounded) lot(now time.Time, workspace string) float64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(workspace)) // never fails
-	_, _ = h.Write(strconv.AppendInt(nil, now.UnixNano()/int64(ownWindow), 10))
+	_, _ = h.Write(strconv.AppendInt(nil, int64(now.Sub(s.startedAt)/ownWindow), 10))
 	x := (h.Sum64() ^ s.salt) * 0x9e3779b97f4a7c15 // spreads similar inputs (Fibonacci hashing)
 	x ^= x >> 32
 	x *= 0xd6e8feb86659fd93
@@ -301,9 +302,14 @@
 	return float64(x>>11) / (1 << 53)
 }
 
+// slot returns the number of the entry of recent for now.
+func (s *bounded) slot(now time.Time) int64 {
+	return int64(now.Sub(s.startedAt) / (ownWindow / spentSlots))
+}
+
 // recentSpent returns the tokens spent within ownWindow.
-func (h *boundedBucket) recentSpent(now time.Time) float64 {
-	h.advance(now)
+func (h *boundedBucket) recentSpent(slot int64) float64 {
+	h.advance(slot)
 	sum := uint32(0)
 	for _, count := range h.recent {
 		sum += count
@@ -312,8 +318,7 @@
 }
 
 // advance clears the entries that have become too old.
-func (h *boundedBucket) advance(now time.Time) {
-	slot := now.UnixNano() / int64(ownWindow/spentSlots)
+func (h *boundedBucket) advance(slot int64) {
 	for range min(spentSlots, slot-h.recentAt) {
 		h.recentAt++
 		h.recent[h.recentAt%spentSlots] = 0
@@ -337,7 +342,7 @@
 		return s.returnAfter(now, held), false
 	}
 	if held.isolatedAt.IsZero() {
-		if allowed <= held.recentSpent(now) { // half of the part is spent
+		if allowed <= held.recentSpent(s.slot(now)) { // half of the part is spent
 			s.requestReport(now)
 		}
 	} else {
@@ -345,17 +350,12 @@
 	}
 	held.level--
 	held.spent++
-	held.recent[held.slot(now)]++
+	held.advance(s.slot(now))
+	held.recent[held.recentAt%spentSlots]++
 	s.spends++
 	return 0, true
 }
 
-// slot returns the index of the entry of recent for now.
-func (h *boundedBucket) slot(now time.Time) int64 {
-	h.advance(now)
-	return h.recentAt % spentSlots
-}
-
 // requestReport asks for a report before the next regular one.
 func (s *bounded) requestReport(now time.Time) {
 	if now.Sub(s.reportAt) >= reportAge/8 {
@@ -403,7 +403,7 @@
 	return at.Sub(now)
 }
 
-// returnBounded returns a token whose request did not run.
+// returnToken returns a token whose request did not run.
 func (s *bounded) returnToken(workspace string) {
 	held := s.buckets[workspace]
 	if held == nil || held.spent == 0 {
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -112,7 +112,7 @@
 		changed:           make(chan struct{}),
 	}
 	if cfg.Quota != nil {
-		f.Buckets.SetBounds(*cfg.Quota, cfg.Member.Incarnation)
+		f.Buckets.SetBounds(boottimeNow(), *cfg.Quota, cfg.Member.Incarnation)
 	}
 	f.catalog.Store(&catalog.State{})
 	f.verdicts.Store(&map[quarantine.Ref]Verdict{})
@@ -226,11 +226,14 @@
 // QuotaNow returns the time for Buckets. With bounds, it also counts suspensions.
 func (f *Follower) QuotaNow() time.Time {
 	if f.Buckets.Bounded() {
-		return time.Unix(0, int64(boottime.Now()))
+		return boottimeNow()
 	}
 	return time.Now()
 }
 
+// boottimeNow returns the time since the machine booted, after a fixed date.
+func boottimeNow() time.Time { return time.Unix(0, 0).Add(time.Duration(boottime.Now())) }
+
 // ReportNow makes the process report its load immediately.
 func (f *Follower) ReportNow() { f.wakeReporters() }
 
