--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -96,12 +96,14 @@
 	ChangesOnly bool                      `msgpack:"x,omitempty"`
 	Debts       map[string]float64        `msgpack:"d,omitempty"` // by workspace: tokens by which its bucket is overdrawn
 	Limits      []placement.LimitReport   `msgpack:"e,omitempty"` // that targets have named to this process
+	Leaving     []roster.Leaving          `msgpack:"v,omitempty"` // processes of targets that have said that they leave
 }
 
 // FollowPing reports the subscriber's load to a control host.
 type FollowPing struct {
 	Load           MemberLoad `msgpack:"l"`
-	WantsPeerLoads bool       `msgpack:"o"` // requests the aggregated load of the other processes
+	WantsPeerLoads bool       `msgpack:"o"`           // requests the aggregated load of the other processes
+	PeerLoadsOften bool       `msgpack:"p,omitempty"` // at the shortest interval, because the subscriber keeps to bounds of quotas
 	// AcceptsEarly, in the first ping, requests the catalog even before a quorum has
 	// confirmed it.
 	AcceptsEarly bool `msgpack:"e,omitempty"`
@@ -116,13 +118,15 @@
 	Debts           map[string]float64        `msgpack:"d,omitempty"` // by workspace: the largest debt at any gateway; until the first push with gateways
 	Members         int                       `msgpack:"n"`           // processes, not counting the subscriber
 	Gateways        int                       `msgpack:"g"`           // gateways among them
+	GatewaysHeard   int                       `msgpack:"r,omitempty"` // gateways among them that have reported very lately
 }
 
 // TargetReport is a target's report and the time since its arrival.
 type TargetReport struct {
-	Report roster.Report          `msgpack:"r"`
-	AgeMS  int64                  `msgpack:"a"`           // milliseconds
-	Limit  *placement.LimitReport `msgpack:"l,omitempty"` // newest reading of the limit that the target names; nil: it never named one
+	Report  roster.Report          `msgpack:"r"`
+	AgeMS   int64                  `msgpack:"a"`           // milliseconds
+	Limit   *placement.LimitReport `msgpack:"l,omitempty"` // newest reading of the limit that the target names; nil: it never named one
+	Leaving bool                   `msgpack:"v,omitempty"` // the process has said that it leaves
 }
 
 // FollowPush carries the changes since the previous push. The first one carries the
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -56,6 +56,9 @@
 	// WithoutPeerLoads is set for processes that do not need the aggregate of the
 	// other processes' loads and quota use.
 	WithoutPeerLoads bool
+	// Quota bounds by how much all gateways together may exceed rates and bursts; nil:
+	// no bounds.
+	Quota *quota.Bounds
 	// AcceptEarly is set for processes that may act on a catalog that is older than
 	// the newest one, until a control host has confirmed it.
 	AcceptEarly bool
@@ -84,12 +87,14 @@
 	lastPushes             map[string]time.Time // time of the last push, by control host
 	lastPush               time.Time            // time of the last push of any control host
 	primary                string               // control host that is asked for the aggregate of the other processes
+	backup                 string               // asked too, by processes that keep to bounds of quotas
 	disconnected           bool
 	controlHosts           map[string]bool // wire addresses of the followed control hosts
 	addedControlHosts      chan string
 	changed                chan struct{} // closed and replaced after each change of the view
 
 	sequence  atomic.Uint64
+	leavings  atomic.Uint64                 // number of targets that have said to this process that they leave
 	reportNow atomic.Pointer[chan struct{}] // closed and replaced to make all streams report immediately
 }
 
@@ -106,6 +111,9 @@
 		addedControlHosts: make(chan string, maxControlHosts),
 		changed:           make(chan struct{}),
 	}
+	if cfg.Quota != nil {
+		f.Buckets.SetBounds(boottimeNow(), *cfg.Quota, cfg.Member.Incarnation)
+	}
 	f.catalog.Store(&catalog.State{})
 	f.verdicts.Store(&map[quarantine.Ref]Verdict{})
 	f.confirmed.Store(int64(boottime.Never))
@@ -215,6 +223,17 @@
 	}
 }
 
+// QuotaNow returns the time for Buckets. With bounds, it also counts suspensions.
+func (f *Follower) QuotaNow() time.Time {
+	if f.Buckets.Bounded() {
+		return boottimeNow()
+	}
+	return time.Now()
+}
+
+// boottimeNow returns the time since the machine booted, after a fixed date.
+func boottimeNow() time.Time { return time.Unix(0, 0).Add(time.Duration(boottime.Now())) }
+
 // ReportNow makes the process report its load immediately.
 func (f *Follower) ReportNow() { f.wakeReporters() }
 
@@ -230,6 +249,29 @@
 	}
 }
 
+// ObserveLeaving records that a response of a target said that it leaves. From its return
+// on, no request is sent there.
+func (f *Follower) ObserveLeaving(now time.Time, target *roster.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.roster.IsLeaving(target.ID, target.Incarnation) {
+		return
+	}
+	if f.roster.MarkLeaving(now, target.ID, target.Incarnation) == roster.Changed {
+		f.Targets.SetRecords(f.roster.All())
+	}
+	f.notifyChanged()
+	f.leavings.Add(1)
+	f.wakeReporters()
+	f.cfg.Log.Info("target_leaving_read", "target", target.ID, "target_incarnation", target.Incarnation)
+}
+
+func (f *Follower) leavingTargets() []roster.Leaving {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.AllLeaving()
+}
+
 // memberLoad returns this process's report about itself.
 func (f *Follower) memberLoad() rpc.MemberLoad {
 	member := f.cfg.Member
@@ -242,9 +284,10 @@
 		Sequence: f.sequence.Add(1),
 		Spent:    f.Buckets.Spent(),
 		Loads:    f.ownLoads(broker),
-		Debts:    f.Buckets.Debts(time.Now()),
+		Debts:    f.Buckets.Debts(f.QuotaNow()),
 		BrokerID: broker,
 		Limits:   f.Targets.LimitReports(time.Now()),
+		Leaving:  f.leavingTargets(),
 	}
 }
 
