--- a/core/outcome/codes.go
+++ b/core/outcome/codes.go
@@ -35,6 +35,7 @@
 	SuspectHeld         Code = 314
 	StreamUnknown       Code = 315
 	VersionGone         Code = 316
+	BeyondShare         Code = 317
 	JobNotFound         Code = 400
 	FileNotFound        Code = 401
 	BadBatchLine        Code = 402
--- a/core/outcome/table.go
+++ b/core/outcome/table.go
@@ -31,6 +31,7 @@
 	{SuspectHeld, "suspect_held", 503, "The request may crash targets; another run of it is on trial, or too few targets are up.", "Wait for Retry-After and resend."},
 	{StreamUnknown, "stream_unknown", 503, "It is not known at which software version the stream began, so it can't go on.", "Wait for Retry-After and resend, or begin the stream anew."},
 	{VersionGone, "version_gone", 503, "No target runs the software version at which the stream began.", "Begin the stream anew."},
+	{BeyondShare, "beyond_share", 503, "Slots are scarce and the workspace holds its share of them or more.", "Wait for Retry-After; operators see docs/OPERATIONS.md on a workspace that crowds out others."},
 	{JobNotFound, "job_not_found", 404, "The workspace has no such batch.", "Check the id."},
 	{FileNotFound, "file_not_found", 404, "The workspace has no such file.", "Check the id."},
 	{BadBatchLine, "bad_batch_line", 400, "A line of the batch file is not valid.", "Correct the line whose number the message gives."},
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -10,7 +10,7 @@
 type Query struct {
 	Service         string
 	DataCentre      string  // whose targets are preferred; empty: the data centre of this process
-	MaxQueue        int     // online requests that may wait at a target beyond its slots; 0: any number
+	MaxQueue        int     // online requests that may wait at a target beyond its slots; 0: any number, negative: none
 	WarmupPerSecond float64 // requests per second that one cold target can take
 	Batch           bool
 	Spare           int             // slots of a target that a batch item must leave free
@@ -83,7 +83,7 @@
 		if q.Batch && t.total(r.ID)+t.reserved(now, r.ID)+spareAt(r, q.Spare) >= slotsOf(r) {
 			continue
 		}
-		if q.MaxQueue > 0 && t.online(r.ID) >= slotsOf(r)+q.MaxQueue {
+		if q.MaxQueue != 0 && t.online(r.ID) >= slotsOf(r)+max(0, q.MaxQueue) {
 			continue
 		}
 		if r.DataCentre != preferred {
--- a/core/placement/returns.go
+++ b/core/placement/returns.go
@@ -21,9 +21,12 @@
 // taken. It answers a jump of the load, or the end of an outage, after which many
 // callers are refused at once: told the same delay, they would all return into the
 // same full queues. It is not safe for concurrent use.
+//
+// Callers whose workspace is beyond its share are spread by NextBeyond instead.
 type Returns struct {
-	hold time.Duration // moving average
-	last time.Time     // latest time promised
+	hold   time.Duration        // moving average
+	last   time.Time            // latest time promised
+	beyond map[string]time.Time // latest time promised, by workspace beyond its share
 }
 
 // Observe records how long a request held its place.
@@ -52,3 +55,35 @@
 	}
 	return next.Sub(now)
 }
+
+// NextBeyond returns the delay after which a refused caller of a workspace beyond its
+// share should return: after those within their share, and spread over the slots that
+// the workspace's share releases, since its new callers take most of these.
+func (r *Returns) NextBeyond(now time.Time, workspace string, share float64, remaining time.Duration) time.Duration {
+	next := r.beyond[workspace].Add(time.Duration(float64(r.hold) * returnsShare / max(1, share)))
+	if earliest := later(now, r.last).Add(minReturn); next.Before(earliest) {
+		next = earliest
+	}
+	if latest := now.Add(remaining / patienceDivisor); next.After(latest) {
+		next = latest
+	}
+	if r.beyond == nil {
+		r.beyond = make(map[string]time.Time)
+	}
+	for name, promised := range r.beyond {
+		if promised.Before(now) {
+			delete(r.beyond, name)
+		}
+	}
+	if next.After(r.beyond[workspace]) {
+		r.beyond[workspace] = next
+	}
+	return next.Sub(now)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/placement/room.go
@@ -0,0 +1,68 @@
+package placement
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+)
+
+// Room is what the targets that can take a request offer. Batch items give way to
+// online requests, so they do not count.
+type Room struct {
+	Slots  int
+	Free   int // slots without an online request
+	Online int // requests, including those that wait
+}
+
+// Room returns the room at the targets that can take a request.
+func (t *Targets) Room(now time.Time, q Query) Room {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var room Room
+	for _, r := range t.services[q.Service] {
+		if q.Exclude[r.ID] || t.outOfService(r.DataCentre) || q.Version != nil && r.Version != *q.Version {
+			continue
+		}
+		if t.inBackoff(now, r.ID) || !t.underWarmupLimit(now, r, q) || !t.underRateLimit(now, r, q.Batch) {
+			continue
+		}
+		slots, online := slotsOf(r), t.online(r.ID)
+		room.Slots += slots
+		room.Free += max(0, slots-online)
+		room.Online += online
+	}
+	return room
+}
+
+// OwnPartUsed returns the targets of a service at which this process has as many
+// requests as its part of the slots and the queue allows, if as many processes as given
+// share them. Where the part is less than one request, a process has it at some targets
+// only, and each process at others.
+func (t *Targets) OwnPartUsed(service string, queue, processes int) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var used []string
+	for _, r := range t.services[service] {
+		part := float64(slotsOf(r)+queue) / float64(max(1, processes))
+		allowed := int(part)
+		if t.spread(r.ID) < part-float64(allowed) {
+			allowed++
+		}
+		if t.ownLoads[r.ID].Online >= allowed {
+			used = append(used, r.ID)
+		}
+	}
+	return used
+}
+
+// spread is position with its bits mixed: the names of processes and targets differ in
+// the last characters only, which FNV leaves in the lower bits. The caller holds the
+// lock.
+func (t *Targets) spread(id string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(t.limitSharer + "\x00" + id)) // never fails
+	x := h.Sum64()
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd // the finalizer of MurmurHash3
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return float64(x^x>>33) / math.MaxUint64
+}
