Broker: places by share of the workspace while slots are scarce

A workspace that sent eight times its usual load filled all slots and the queues at the targets, and every caller waited there. The broker now asks core/fairshare under the lock with which it places a request; only model engines with slots in the document are shared.

--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"banyanwalk/core/fairshare"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/placement"
 	"banyanwalk/core/roster"
@@ -48,6 +49,8 @@
 	mu        sync.Mutex
 	grants    map[rpc.SlotID]grant
 	returns   map[string]*placement.Returns // by service
+	shares    map[string]*fairshare.Shares  // by service; only of model engines
+	sharing   *shareMeters
 	lastSweep time.Time
 }
 
@@ -56,7 +59,8 @@
 	service string
 	since   time.Time
 	expires time.Time
-	suspect bool // the request may crash the target
+	suspect bool               // the request may crash the target
+	shared  *fairshare.Request // counted in the shares of the service; nil: it is not
 }
 
 func newBroker(s *Server, r *runner) *broker {
@@ -68,6 +72,8 @@
 		refused: metrics.GetOrRegisterCounter("broker.slots.refused", s.cfg.Metrics),
 		grants:  make(map[rpc.SlotID]grant),
 		returns: make(map[string]*placement.Returns),
+		shares:  make(map[string]*fairshare.Shares),
+		sharing: newShareMeters(s.cfg.Metrics, s.log),
 	}
 }
 
@@ -77,8 +83,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id := range b.grants {
-		b.dropGrant(id)
+		b.dropGrant(id, 0)
 	}
+	clear(b.shares)
 	b.targets.DrainLimits(time.Now())
 	b.id.Store(brokerID)
 }
@@ -86,19 +93,20 @@
 // acquire grants a slot at a target to one request, and preempts a batch item if
 // the target is full.
 func (b *broker) acquire(_ context.Context, r *rpc.SlotRequest) (*rpc.SlotGrant, error) {
+	return b.acquireAt(time.Now(), r)
+}
+
+func (b *broker) acquireAt(now time.Time, r *rpc.SlotRequest) (*rpc.SlotGrant, error) {
 	if b.id.Load() == 0 {
 		return nil, notLeader()
 	}
-	now := time.Now()
-	target, full := b.acquireTarget(now, b.query(r), r.IsSuspect)
-	if target == nil {
-		return nil, b.refuse(now, r)
+	target, full, failure := b.place(now, r)
+	if failure != nil {
+		return nil, failure
 	}
 	if full {
 		b.runner.preempt(map[string]int{target.ID: 1})
 	}
-	expires := now.Add(time.Duration(r.RemainingMS)*time.Millisecond + grantGrace)
-	b.recordGrant(r.ID, grant{target: target.ID, service: r.Service, since: now, expires: expires, suspect: r.IsSuspect})
 	b.granted.Inc(1)
 	if r.Stream != streams.NoKey {
 		b.server.origins.begun(streams.Group{Origin: streams.Origin{Service: r.Service, Version: target.Version}, Keys: []streams.Key{r.Stream}})
@@ -106,6 +114,29 @@
 	return &rpc.SlotGrant{Target: target.ID, Total: b.targets.TotalLoad(target.ID), Version: target.Version}, nil
 }
 
+// place chooses a target within the shares of the workspaces, and records the grant.
+// One lock covers both, so that no two requests get the same free slot.
+func (b *broker) place(now time.Time, r *rpc.SlotRequest) (target *roster.Record, full bool, failure *outcome.Error) {
+	query := b.query(r)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dropGrant(r.ID, 0) // of a repeated request
+	shared, decision := b.share(now, r, &query)
+	if decision.Admitted {
+		target, full = b.acquireTarget(now, query, r.IsSuspect)
+	}
+	if target == nil {
+		return nil, false, b.refuse(now, r, decision)
+	}
+	if shared != nil {
+		b.shares[r.Service].Granted(*shared)
+		b.sharing.granted(r.Workspace, decision)
+	}
+	expires := now.Add(time.Duration(r.RemainingMS)*time.Millisecond + grantGrace)
+	b.grants[r.ID] = grant{target: target.ID, service: r.Service, since: now, expires: expires, suspect: r.IsSuspect, shared: shared}
+	return target, full, nil
+}
+
 // query returns the placement of a request. Only model engines have a bounded queue.
 func (b *broker) query(r *rpc.SlotRequest) placement.Query {
 	query := placement.Query{Service: r.Service, DataCentre: r.DataCentre, Exclude: make(map[string]bool, len(r.Exclude)), Version: r.Version}
@@ -130,59 +161,53 @@
 	return query
 }
 
-// refuse returns the refusal of a request for which no target has a place.
-func (b *broker) refuse(now time.Time, r *rpc.SlotRequest) *outcome.Error {
+// refuse returns the refusal of a request for which no target has a place. The caller
+// holds the lock.
+func (b *broker) refuse(now time.Time, r *rpc.SlotRequest, d fairshare.Decision) *outcome.Error {
 	b.refused.Inc(1)
+	if d.Contended && !d.Within {
+		return b.refuseBeyondShare(now, r, d)
+	}
 	retryAfter, limited := b.targets.NextPlace(now, r.Service)
 	slots, taken, targets := b.targets.Free(r.Service)
 	if !limited {
-		retryAfter = b.nextReturn(now, r, slots)
+		retryAfter = b.returnsOf(r.Service).Next(now, slots, time.Duration(r.RemainingMS)*time.Millisecond)
 	}
 	return outcome.New(outcome.TargetBusy, outcome.NotRun, "no target of service %s has a place: %d slots at %d targets, %d requests there, all limited %t, returning %t",
 		r.Service, slots, targets, taken, limited, r.IsRetry).WithRetryAfter(retryAfter)
 }
 
-// nextReturn returns the delay after which a refused caller should return.
-func (b *broker) nextReturn(now time.Time, r *rpc.SlotRequest, slots int) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	returns := b.returns[r.Service]
+// returnsOf returns how refused callers of a service are spread. The caller holds the
+// lock.
+func (b *broker) returnsOf(service string) *placement.Returns {
+	returns := b.returns[service]
 	if returns == nil {
 		returns = &placement.Returns{}
-		b.returns[r.Service] = returns
+		b.returns[service] = returns
 	}
-	return returns.Next(now, slots, time.Duration(r.RemainingMS)*time.Millisecond)
+	return returns
 }
 
 // acquireTarget chooses a target. A request that may crash it goes, where it can, to
 // one without another such request: if the target then crashes, the evidence is
-// against one of them only.
+// against one of them only. The caller holds the lock.
 func (b *broker) acquireTarget(now time.Time, q placement.Query, suspect bool) (target *roster.Record, full bool) {
 	if !suspect {
 		return b.targets.Acquire(now, q)
 	}
 	separate := q
 	separate.Exclude = maps.Clone(q.Exclude)
-	b.mu.Lock()
 	for _, g := range b.grants {
 		if g.suspect {
 			separate.Exclude[g.target] = true
 		}
 	}
-	b.mu.Unlock()
 	if target, full = b.targets.Acquire(now, separate); target != nil {
 		return target, full
 	}
 	return b.targets.Acquire(now, q)
 }
 
-func (b *broker) recordGrant(id rpc.SlotID, g grant) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.dropGrant(id) // of a repeated request
-	b.grants[id] = g
-}
-
 // sweep drops expired grants every sweepInterval. Their releases were lost, and
 // without it batch items would wait for these slots for ever.
 func (b *broker) sweep(now time.Time) {
@@ -198,33 +223,43 @@
 func (b *broker) dropExpired(now time.Time) {
 	for id, g := range b.grants {
 		if now.After(g.expires) {
-			b.dropGrant(id)
+			b.dropGrant(id, 0)
 		}
 	}
 }
 
-// dropGrant removes a grant and frees its slot. The caller holds the lock.
-func (b *broker) dropGrant(id rpc.SlotID) {
+// dropGrant removes a grant and frees its slot. held is how long the request had it; 0:
+// unknown. The caller holds the lock.
+func (b *broker) dropGrant(id rpc.SlotID, held time.Duration) {
 	g, found := b.grants[id]
 	if !found {
 		return
 	}
 	delete(b.grants, id)
 	b.targets.Release(g.target, false)
+	if g.shared != nil {
+		b.shares[g.service].Released(*g.shared, held)
+	}
 }
 
 // release frees slots, and records the targets that failed.
 func (b *broker) release(_ context.Context, r *rpc.SlotRelease) (*rpc.Ack, error) {
-	now := time.Now()
+	return b.releaseAt(time.Now(), r)
+}
+
+func (b *broker) releaseAt(now time.Time, r *rpc.SlotRelease) (*rpc.Ack, error) {
 	for _, target := range r.Failed {
 		b.targets.Failed(now, target)
 	}
 	b.mu.Lock()
 	for _, id := range r.IDs {
-		if g, found := b.grants[id]; found && b.returns[g.service] != nil {
-			b.returns[g.service].Observe(now.Sub(g.since))
+		held := time.Duration(0)
+		if g, found := b.grants[id]; found {
+			if held = now.Sub(g.since); b.returns[g.service] != nil {
+				b.returns[g.service].Observe(held)
+			}
 		}
-		b.dropGrant(id)
+		b.dropGrant(id, held)
 	}
 	b.mu.Unlock()
 	b.runner.wakeUp()
