Gateway: its own part of the places while there is no broker

Without a broker each gateway queued any number of requests at model engines, and all chose the same targets from loads that are 100 to 350 ms old. A gateway now keeps to its part of the places (divided by the number of gateways) from half of all slots in use on, uses its part of each target first from a quarter on, and shares its part between workspaces. Requests to the broker name the workspace, the priority and the time until the first byte is late.

--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -321,9 +321,6 @@
 // queue, as a retry may.
 func (f *forwarding) acquireSlot(service *routing.Service, q placement.Query) (*slot, *outcome.Error) {
 	s := f.server
-	if (service == nil || service.Slots == 0) && f.stream == streams.NoKey && !s.follower.Targets.HasLimits(q.Service) {
-		return s.slots.acquireDirectly(q)
-	}
 	request := &rpc.SlotRequest{
 		DataCentre:  s.cfg.DataCentre,
 		RemainingMS: time.Until(f.call.deadline).Milliseconds(),
@@ -331,6 +328,12 @@
 		IsSuspect:   f.known.isolate(),
 		Stream:      f.stream,
 		Version:     f.version,
+		Workspace:   f.call.workspaceName(),
+		Priority:    f.call.priority(),
+		ObjectiveMS: f.call.objectiveMS(time.Now()),
+	}
+	if (service == nil || service.Slots == 0) && f.stream == streams.NoKey && !s.follower.Targets.HasLimits(q.Service) {
+		return s.slots.acquireDirectly(time.Now(), request, q)
 	}
 	return s.slots.acquire(f.ctx, request, q)
 }
--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -46,6 +46,26 @@
 	return c.workspace.Name
 }
 
+// priority returns the priority of the workspace, or else of the route.
+func (c *call) priority() int {
+	if c.workspace != nil && c.workspace.Priority != 0 {
+		return c.workspace.Priority
+	}
+	return c.route.Priority
+}
+
+// objectiveMS returns the time until the first byte is late, in milliseconds; negative:
+// it is late, 0: the route has no objective.
+func (c *call) objectiveMS(now time.Time) int64 {
+	if c.route.Objective <= 0 {
+		return 0
+	}
+	if left := c.route.Objective - now.Sub(c.started); left >= time.Millisecond {
+		return left.Milliseconds()
+	}
+	return -1
+}
+
 // handle serves one request.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	s.openRequests.Add(1)
--- a/services/entry/slots.go
+++ b/services/entry/slots.go
@@ -36,6 +36,7 @@
 	started       time.Time
 	brokerRetryAt atomic.Int64 // no requests to the broker until then, nanoseconds since started
 	releases      chan release
+	direct        *directSlots
 }
 
 type release struct {
@@ -53,10 +54,11 @@
 	version         string           // of the target's software, as the broker knows it
 	broker          rpc.StorageState // state of the granting broker at the time of the grant
 	id              rpc.SlotID
+	direct          *directSlot // how this gateway counts the slot; nil: it does not
 }
 
 func newSlots(f *follow.Follower, jobs *jobClient) *slots {
-	return &slots{follower: f, jobs: jobs, started: time.Now(), releases: make(chan release, releaseQueue)}
+	return &slots{follower: f, jobs: jobs, started: time.Now(), releases: make(chan release, releaseQueue), direct: newDirectSlots(f)}
 }
 
 // acquire returns a slot, or the reason why there is none.
@@ -65,12 +67,15 @@
 	if granted != nil || failure != nil {
 		return granted, failure
 	}
-	return s.acquireDirectly(q)
+	return s.acquireDirectly(time.Now(), request, q)
 }
 
-// acquireDirectly acquires a slot without the broker.
-func (s *slots) acquireDirectly(q placement.Query) (*slot, *outcome.Error) {
-	now := time.Now()
+// acquireDirectly acquires a slot without the broker, at a model engine within this
+// gateway's part of the places.
+func (s *slots) acquireDirectly(now time.Time, request *rpc.SlotRequest, q placement.Query) (*slot, *outcome.Error) {
+	if s.direct.places(q.Service) {
+		return s.direct.acquire(now, request, q)
+	}
 	target, full := s.follower.Targets.Acquire(now, q)
 	if target == nil {
 		retryAfter, limited := s.follower.Targets.NextPlace(now, q.Service)
@@ -101,7 +106,7 @@
 	defer cancel()
 	var grant rpc.SlotGrant
 	err := s.jobs.callOnce(bounded, brokerTimeout, hosts[0].ID, rpc.MethodSlotAcquire, request, &grant)
-	if outcome.IsCode(err, outcome.TargetBusy) {
+	if outcome.IsCode(err, outcome.TargetBusy) || outcome.IsCode(err, outcome.BeyondShare) {
 		return nil, outcome.From(err)
 	}
 	granted := &slot{brokered: true, broker: hosts[0], id: request.ID, total: grant.Total}
@@ -136,6 +141,10 @@
 // release frees a slot. failed reports that the target failed or broke the
 // connection.
 func (s *slots) release(used *slot, failed bool) {
+	if used.direct != nil {
+		s.direct.release(time.Now(), used)
+		return
+	}
 	if !used.brokered {
 		s.follower.Targets.Release(used.target.ID, false)
 		return
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -273,6 +273,21 @@
 	return batch
 }
 
+// Gateways returns the number of gateways that the last aggregate of the other
+// processes counted, including this process if it is one; at least 1.
+func (f *Follower) Gateways() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	if f.peerLoads != nil {
+		count = f.peerLoads.Gateways
+	}
+	if f.cfg.Member.Role == rpc.RoleGateway {
+		count++
+	}
+	return max(1, count)
+}
+
 // Name returns the name of this process.
 func (f *Follower) Name() string { return f.cfg.Member.Name }
 
