Rollouts: gate of versions, its use where targets are chosen, reports to control

Cause: while an operator moves a service to a new software version, a bad version must get at most a bounded number of requests over all processes together. Nothing limited which versions a process may choose.

Change: core/rollout.Gate admits requests by the phase of the rollout and spends grants, whose expiry counts suspensions. Followers take the rollouts from the catalog before the targets of the same push, report evidence and ask for grants four times a second. Gateways and the runner of items count responses; a gateway does not use a broker's target that the phase bars. The stub target has versions and faults.

--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -125,6 +125,8 @@
 		Seeds:  p.Settings.ControlSeeds,
 		Decode: DecodeDocument,
 		Log:    p.Log,
+
+		Metrics: p.Metrics,
 	}
 }
 
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -10,6 +10,7 @@
 
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/quarantine"
+	"banyanwalk/core/rollout"
 )
 
 // Command is one entry of the control group's log. Exactly one field is set.
@@ -115,6 +116,8 @@
 	DataCentresOut []string     `msgpack:"o"` // sorted
 	InitialHosts   []uint64     `msgpack:"f"` // initial replicas of the job group; empty: the group does not exist yet
 	Retired        []Retirement `msgpack:"t"`
+
+	Rollouts []rollout.Rollout `msgpack:"w,omitempty"` // newest of each service, sorted by service
 }
 
 // IsOut reports whether a data centre is out of service.
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"banyanwalk/core/rollout"
 	"banyanwalk/core/roster"
 )
 
@@ -16,6 +17,11 @@
 	Spare           int             // slots of a target that a batch item must leave free
 	Exclude         map[string]bool // ids of targets already tried
 	Version         *string         // that the target's software must have; nil: any
+	// Rollout limits the versions to those that may get requests; nil: any may.
+	Rollout *rollout.ServiceGate
+
+	only    string // id of the only target to consider; empty: all
+	without string // version that is not considered; empty: none
 }
 
 // Acquire chooses a target and counts the request there until Release. It
@@ -24,10 +30,7 @@
 func (t *Targets) Acquire(now time.Time, q Query) (chosen *roster.Record, full bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best := t.best(now, q, false)
-	if best == nil && !q.Batch {
-		best = t.best(now, q, true)
-	}
+	best := t.chooseVersion(now, q)
 	if best == nil {
 		return nil, false
 	}
@@ -73,7 +76,7 @@
 		if q.Exclude[r.ID] || t.outOfService(r.DataCentre) || !t.underWarmupLimit(now, r, q) || !t.underRateLimit(now, r, q.Batch) {
 			continue
 		}
-		if q.Version != nil && r.Version != *q.Version {
+		if !q.takesVersion(r) {
 			continue
 		}
 		if !includeFailed && t.inBackoff(now, r.ID) {
--- /dev/null
+++ b/core/rollout/gate.go
@@ -0,0 +1,423 @@
+package rollout
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// grantWindow is the time over which the requests of grants are spread, so that the
+	// new version gets them one by one. It is also the time for which a process asks.
+	grantWindow = 250 * time.Millisecond
+	// askedShare is the part of a process's requests for which it asks grants. The
+	// control group grants fewer if the exposure allows fewer.
+	askedShare = 0.2
+	maxAsked   = 64
+	// maxRoutes bounds the routes that are counted by themselves for each version;
+	// further ones are counted together as OtherRoutes.
+	maxRoutes   = 64
+	maxVersions = 8 // of a service that are counted
+)
+
+// OtherRoutes is the route in evidence that stands for all routes beyond the first ones.
+const OtherRoutes = "*"
+
+// Gate says which versions of a service may get one more request, and counts what this
+// process sees of them. It is safe for concurrent use. While no rollout is known, it
+// counts nothing and costs one atomic load.
+type Gate struct {
+	now      func() time.Time
+	services atomic.Pointer[map[string]*ServiceGate] // nil: no rollout is known
+	short    chan struct{}
+	mu       sync.Mutex // held by SetRollouts
+}
+
+// ServiceGate is the part of a Gate that belongs to one service with a rollout.
+type ServiceGate struct {
+	now     func() time.Time
+	short   chan<- struct{}
+	rollout atomic.Pointer[Rollout]
+
+	mu         sync.Mutex
+	grants     []grant // sorted by expiry
+	held       int     // requests in grants
+	nextAt     time.Time
+	spacing    time.Duration // between two requests to the new version
+	placed     uint64        // requests since askedAt
+	askedAt    time.Time
+	expired    int // requests of expired grants that TakeExpired has not returned
+	counts     map[string]map[string]*Evidence
+	references map[string]*reference // by route
+}
+
+type grant struct {
+	requests int
+	expires  time.Time
+}
+
+// Wanted is a number of requests to a new version that a process asks for.
+type Wanted struct {
+	Service  string
+	Version  string
+	Requests int
+}
+
+// NewGate returns a gate that knows of no rollout. now must also count the time in which
+// the process or its machine is suspended, so that a process that resumes spends no
+// expired grant; only differences of its values matter.
+func NewGate(now func() time.Time) *Gate {
+	return &Gate{now: now, short: make(chan struct{}, 1)}
+}
+
+// SetRollouts replaces the known rollouts, the newest of each service.
+func (g *Gate) SetRollouts(rollouts []Rollout) {
+	if len(rollouts) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next := make(map[string]*ServiceGate, len(rollouts))
+	if known := g.services.Load(); known != nil {
+		next = maps.Clone(*known)
+	}
+	for _, r := range rollouts {
+		s := next[r.Service]
+		if s == nil {
+			s = &ServiceGate{now: g.now, short: g.short, askedAt: g.now(),
+				counts: make(map[string]map[string]*Evidence), references: make(map[string]*reference)}
+			s.rollout.Store(&r)
+			next[r.Service] = s
+			continue
+		}
+		s.set(&r)
+	}
+	g.services.Store(&next)
+}
+
+// set takes the newest record. A grant belongs to one rollout in its Canary phase.
+func (s *ServiceGate) set(r *Rollout) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	former := s.rollout.Load()
+	another := former.Version != r.Version || former.StartedMS != r.StartedMS
+	if another {
+		s.references = make(map[string]*reference)
+	}
+	if another || r.Phase != Canary {
+		s.grants, s.held = nil, 0
+	}
+	s.rollout.Store(r)
+}
+
+// Service returns the gate of a service, or nil if no rollout of it is known.
+func (g *Gate) Service(name string) *ServiceGate {
+	services := g.services.Load()
+	if services == nil {
+		return nil
+	}
+	return (*services)[name]
+}
+
+// Admit reports whether one more request may go to a target of a version now, and takes
+// a grant if it needs one.
+func (g *Gate) Admit(service, version string) bool {
+	s := g.Service(service)
+	return s == nil || s.Admit(version, false)
+}
+
+// Bars reports whether no request may go to a version, with or without a grant. resumed
+// is set for a request that goes on with what the version began.
+func (g *Gate) Bars(service, version string, resumed bool) bool {
+	s := g.Service(service)
+	return s != nil && s.rollout.Load().bars(version, resumed)
+}
+
+// bars reports whether no request may go to a version in this phase. What the old
+// versions began goes on there until the rollout is completed.
+func (r *Rollout) bars(version string, resumed bool) bool {
+	isNew := version == r.Version
+	switch r.Phase {
+	case Canary:
+		return false
+	case Finishing:
+		return !isNew && !resumed
+	case Completed:
+		return !isNew
+	default:
+		return isNew
+	}
+}
+
+// needsGrant reports whether a request to a version spends a grant.
+func (r *Rollout) needsGrant(version string) bool { return r.Phase == Canary && version == r.Version }
+
+// Allows reports whether Admit would admit a request, without side effects.
+func (s *ServiceGate) Allows(version string, resumed bool) bool {
+	r := s.rollout.Load()
+	if r.bars(version, resumed) {
+		return false
+	}
+	if !r.needsGrant(version) {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropExpired(s.now())
+	return s.held > 0
+}
+
+// Admit reports whether one more request may go to a target of a version now. It takes a
+// grant if the request needs one.
+func (s *ServiceGate) Admit(version string, resumed bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.rollout.Load()
+	if r.bars(version, resumed) {
+		return false
+	}
+	if !r.needsGrant(version) {
+		s.placed++
+		return true
+	}
+	now := s.now()
+	s.dropExpired(now)
+	if s.held == 0 {
+		return false
+	}
+	if s.grants[0].requests--; s.grants[0].requests == 0 {
+		s.grants = s.grants[1:]
+	}
+	s.held--
+	s.placed++
+	s.nextAt = now.Add(s.spacing)
+	if s.held == 0 {
+		select {
+		case s.short <- struct{}{}:
+		default:
+		}
+	}
+	return true
+}
+
+// Canary returns the new version while its requests need grants, else an empty one, and
+// whether the next request should go there. Requests of a grant are spread over
+// grantWindow.
+func (s *ServiceGate) Canary() (version string, next bool) {
+	r := s.rollout.Load()
+	if r.Phase != Canary {
+		return "", false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.dropExpired(now)
+	return r.Version, s.held > 0 && !now.Before(s.nextAt)
+}
+
+// dropExpired drops expired grants. The caller holds the lock.
+func (s *ServiceGate) dropExpired(now time.Time) {
+	for len(s.grants) > 0 && !now.Before(s.grants[0].expires) {
+		s.expired += s.grants[0].requests
+		s.held -= s.grants[0].requests
+		s.grants = s.grants[1:]
+	}
+}
+
+// AddGrant adds requests that this process may send to a new version until expires, a
+// time of the gate's clock. A grant of a rollout that is not in its Canary phase is
+// dropped.
+func (g *Gate) AddGrant(service, version string, n int, expires time.Time) {
+	s := g.Service(service)
+	if s == nil || n <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.rollout.Load().needsGrant(version) {
+		return
+	}
+	now := s.now()
+	s.dropExpired(now)
+	if !now.Before(expires) {
+		s.expired += n
+		return
+	}
+	s.grants = append(s.grants, grant{requests: n, expires: expires})
+	slices.SortFunc(s.grants, func(a, b grant) int { return a.expires.Compare(b.expires) })
+	s.held += n
+	s.spacing = grantWindow / time.Duration(s.held)
+}
+
+// Short returns a channel that receives a value when the last grant of a service has
+// been spent.
+func (g *Gate) Short() <-chan struct{} { return g.short }
+
+// Active reports whether a rollout is in a phase that control decides on evidence.
+func (g *Gate) Active() bool {
+	services := g.services.Load()
+	if services == nil {
+		return false
+	}
+	for _, s := range *services {
+		if !s.rollout.Load().Phase.Final() {
+			return true
+		}
+	}
+	return false
+}
+
+// Wanted returns the further requests to new versions that this process asks for: its
+// part of the requests that it will place within grantWindow at the present rate, less
+// those that it may still spend.
+func (g *Gate) Wanted() []Wanted {
+	var wanted []Wanted
+	for name, s := range g.all() {
+		if n := s.wanted(); n > 0 {
+			wanted = append(wanted, Wanted{Service: name, Version: s.rollout.Load().Version, Requests: n})
+		}
+	}
+	slices.SortFunc(wanted, func(a, b Wanted) int { return cmp.Compare(a.Service, b.Service) })
+	return wanted
+}
+
+func (g *Gate) all() map[string]*ServiceGate {
+	if services := g.services.Load(); services != nil {
+		return *services
+	}
+	return nil
+}
+
+func (s *ServiceGate) wanted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.dropExpired(now)
+	elapsed := max(now.Sub(s.askedAt), time.Millisecond)
+	placed := s.placed
+	s.askedAt, s.placed = now, 0
+	if placed == 0 || s.rollout.Load().Phase != Canary {
+		return 0
+	}
+	expected := float64(placed) * float64(grantWindow) / float64(elapsed)
+	return min(maxAsked, int(math.Ceil(expected*askedShare))) - s.held
+}
+
+// TakeExpired returns the requests of grants that have expired unspent since the last
+// call.
+func (g *Gate) TakeExpired() []Wanted {
+	var expired []Wanted
+	for name, s := range g.all() {
+		s.mu.Lock()
+		s.dropExpired(s.now())
+		if s.expired > 0 {
+			expired = append(expired, Wanted{Service: name, Version: s.rollout.Load().Version, Requests: s.expired})
+		}
+		s.expired = 0
+		s.mu.Unlock()
+	}
+	return expired
+}
+
+// Sent counts a request that a target has taken. A response that says that another
+// target serves the address, and a refusal, are no such request.
+func (g *Gate) Sent(service, version, route string) {
+	if s := g.Service(service); s != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if e := s.evidence(service, version, route); e != nil {
+			e.Requests++
+		}
+	}
+}
+
+// Observe counts how a request at a target ended.
+func (g *Gate) Observe(service, version, route string, a Answer) {
+	if s := g.Service(service); s != nil {
+		s.observe(service, version, route, a, false)
+	}
+}
+
+// ObserveAborted counts a request that its caller or this process gave up after the
+// given times. It counts if it was slow by then; else it shows nothing.
+func (g *Gate) ObserveAborted(service, version, route string, soFar Answer) {
+	if s := g.Service(service); s != nil {
+		s.observe(service, version, route, soFar, true)
+	}
+}
+
+func (s *ServiceGate) observe(service, version, route string, a Answer, aborted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.evidence(service, version, route)
+	if e == nil {
+		return
+	}
+	ref := s.references[e.Route]
+	if ref == nil {
+		ref = &reference{}
+		s.references[e.Route] = ref
+	}
+	slow := !a.Failed && ref.isSlow(a)
+	if aborted && !slow {
+		return
+	}
+	e.Answers++
+	switch {
+	case a.Failed:
+		e.Failed++
+	case slow:
+		e.Slow++
+	}
+	if !a.Failed && !aborted && version != s.rollout.Load().Version {
+		ref.add(a)
+	}
+}
+
+// evidence returns the counts of a version and route, or nil if there are too many
+// versions. The caller holds the lock.
+func (s *ServiceGate) evidence(service, version, route string) *Evidence {
+	routes := s.counts[version]
+	if routes == nil {
+		if len(s.counts) >= maxVersions && version != s.rollout.Load().Version {
+			return nil
+		}
+		routes = make(map[string]*Evidence)
+		s.counts[version] = routes
+	}
+	if routes[route] == nil && len(routes) >= maxRoutes {
+		route = OtherRoutes
+	}
+	e := routes[route]
+	if e == nil {
+		e = &Evidence{Service: service, Version: version, Route: route}
+		routes[route] = e
+	}
+	return e
+}
+
+// Report returns the counts since the start of the process, of the services whose
+// rollout is not final.
+func (g *Gate) Report() []Evidence {
+	var all []Evidence
+	for _, s := range g.all() {
+		if s.rollout.Load().Phase.Final() {
+			continue
+		}
+		s.mu.Lock()
+		for _, routes := range s.counts {
+			for _, e := range routes {
+				all = append(all, *e)
+			}
+		}
+		s.mu.Unlock()
+	}
+	slices.SortFunc(all, func(a, b Evidence) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Route, b.Route))
+	})
+	return all
+}
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -53,6 +53,7 @@
 type Answer struct {
 	Failed  bool
 	Latency time.Duration // until the response, or until a stream's first event
+	Gap     time.Duration // mean time between a stream's events; 0: unknown
 }
 
 // Evidence counts, for one service, version and route, what one process has seen since
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -66,6 +66,7 @@
 	onTrial      bool              // the current run is a trial
 	trialCrashes int               // crashes known when it began
 	response     *targetcall.Response
+	exchange     exchange // with target
 }
 
 // forward sends a request to a target and returns the response to the caller.
@@ -141,6 +142,7 @@
 		body, taken, err := f.server.bodies.read(f.response)
 		f.server.bodies.give(taken)
 		if err == nil {
+			f.noteAnswered()
 			if f.shouldRetryStatus(f.response.Status) {
 				f.tried[f.target.ID] = true
 				f.releaseTarget()
@@ -248,10 +250,12 @@
 			f.releaseTarget()
 			return failure
 		}
+		f.exchange = exchange{startedAt: time.Now()}
 		response, err := f.server.targetClient.Do(f.ctx, f.target, f.request)
 		if err == nil {
 			f.executions++
 			f.response = response
+			f.noteSent()
 			return nil
 		}
 		var failure *targetcall.Failure
@@ -262,6 +266,7 @@
 			f.refusals++
 		} else {
 			f.executions++
+			f.noteSent()
 		}
 		f.recordFailure(failure)
 		if final := f.checkRetry(failure.Outcome); final != nil {
@@ -293,11 +298,11 @@
 func (f *forwarding) acquireTarget() *outcome.Error {
 	s := f.server
 	service := f.call.table.Service(f.service)
-	query := placement.Query{Service: f.service, Exclude: f.tried, Version: f.version}
+	query := placement.Query{Service: f.service, Exclude: f.tried, Version: f.version, Rollout: s.follower.Gate.Service(f.service)}
 	if service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
 	}
-	if f.version != nil && !s.follower.Targets.HasVersion(f.service, *f.version) {
+	if f.version != nil && (!s.follower.Targets.HasVersion(f.service, *f.version) || s.follower.Gate.Bars(f.service, *f.version, true)) {
 		return outcome.New(outcome.VersionGone, f.outcomeSoFar(), "no target of service %s runs version %s", f.service, *f.version).WithRetryAfter(noTargetRetryAfter)
 	}
 	acquired, failure := f.acquireSlot(service, query)
@@ -348,6 +353,7 @@
 func (f *forwarding) recordFailure(failure *targetcall.Failure) {
 	s := f.server
 	f.tried[f.target.ID] = true
+	f.noteFailed(failure)
 	if !failure.IsBusy() && f.ctx.Err() == nil {
 		f.targetFailed = true
 		s.follower.Targets.Failed(time.Now(), f.target.ID)
--- a/services/entry/slots.go
+++ b/services/entry/slots.go
@@ -119,6 +119,9 @@
 	case q.Version != nil && granted.target.Version != *q.Version: // the target has restarted, and the broker does not know
 		s.release(granted, false)
 		return nil, nil
+	case s.follower.Gate.Bars(q.Service, granted.target.Version, q.Version != nil): // the broker does not know of the phase yet
+		s.release(granted, false)
+		return nil, nil
 	}
 	return granted, nil
 }
--- a/services/entry/stream.go
+++ b/services/entry/stream.go
@@ -54,6 +54,9 @@
 func (r *eventStreamReader) next() (*targetcall.Event, error) {
 	for {
 		event, err := r.events.Next()
+		if err == nil {
+			r.f.exchange.eventArrived(time.Now())
+		}
 		switch {
 		case err == nil && event.ID > 0 && event.ID <= r.lastID:
 			continue // a resuming target may repeat events already sent
@@ -67,6 +70,7 @@
 			return event, nil
 		case errors.Is(err, io.EOF):
 			r.finished = true
+			r.f.noteEnd(nil)
 			r.f.logFinished(nil)
 			return nil, io.EOF
 		}
@@ -116,6 +120,7 @@
 func (r *eventStreamReader) Close() error {
 	if !r.finished {
 		r.f.server.metrics.callersGone.Inc(1)
+		r.f.noteEnd(errCallerGone)
 		r.f.logFinished(errCallerGone)
 	}
 	r.f.finish()
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -12,12 +12,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
 	"banyanwalk/core/catalog"
 	"banyanwalk/core/placement"
 	"banyanwalk/core/quarantine"
 	"banyanwalk/core/quota"
+	"banyanwalk/core/rollout"
 	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
 	"banyanwalk/infra/boottime"
@@ -59,6 +61,7 @@
 	// AcceptEarly is set for processes that may act on a catalog that is older than
 	// the newest one, until a control host has confirmed it.
 	AcceptEarly bool
+	Metrics     metrics.Registry // nil: the follower's metrics are not shown
 }
 
 // Follower holds one process's view of the site. It is safe for concurrent use.
@@ -66,6 +69,7 @@
 	cfg     Config
 	Targets *placement.Targets // targets in service and their load
 	Buckets *quota.Buckets     // token buckets of the workspaces
+	Gate    *rollout.Gate      // versions of targets that may get requests
 
 	table    atomic.Pointer[routing.Table]
 	catalog  atomic.Pointer[catalog.State]
@@ -100,6 +104,7 @@
 		cfg:               cfg,
 		Targets:           placement.New(cfg.Member.DataCentre),
 		Buckets:           quota.New(),
+		Gate:              rollout.NewGate(gateClock),
 		roster:            roster.New(),
 		lastPushes:        make(map[string]time.Time),
 		controlHosts:      make(map[string]bool),
@@ -201,6 +206,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	var wg conc.WaitGroup
 	defer wg.Wait()
+	wg.Go(func() { newRolloutReporter(f).run(ctx) })
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
--- a/services/follow/merge.go
+++ b/services/follow/merge.go
@@ -87,6 +87,7 @@
 		}
 		f.table.Store(routing.Compile(document))
 	}
+	f.takeRollouts(from, current, state) // before the targets of the same push are known
 	f.catalog.Store(state)
 	f.Targets.SetOutOfService(state.DataCentresOut)
 	f.cfg.Log.Info("catalog_taken", "from", from, "revision", state.Revision, "version", state.Version,
--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -109,6 +109,7 @@
 // query returns the placement of a request. Only model engines have a bounded queue.
 func (b *broker) query(r *rpc.SlotRequest) placement.Query {
 	query := placement.Query{Service: r.Service, DataCentre: r.DataCentre, Exclude: make(map[string]bool, len(r.Exclude)), Version: r.Version}
+	query.Rollout = b.server.cfg.Follower.Gate.Service(r.Service)
 	for _, id := range r.Exclude {
 		query.Exclude[id] = true
 	}
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -41,6 +41,8 @@
 	progress       *progress
 	startedAt      time.Time
 	cancel         context.CancelCauseFunc
+	route          string
+	firstEventAt   time.Time
 	tokens         int64
 	maxAttempts    int
 	startEvent     int64 // last event of the item before this run
@@ -61,6 +63,7 @@
 	}
 	status, err := i.readResponse(ctx)
 	cause := context.Cause(ctx)
+	i.observe(status, err, cause)
 	r.log.Info("item_ran", "job", i.ref.Job, "item", i.ref.Item, "request", i.request.ID, "target", i.target.ID, "version", i.target.Version,
 		"from_event", from, "to_event", i.progress.lastEventID(), "status", status, "took_ms", time.Since(i.startedAt).Milliseconds(),
 		"error", err, "cause", cause)
@@ -142,6 +145,9 @@
 			return 0, err
 		}
 		silenceTimer.Reset(silenceTimeout)
+		if i.firstEventAt.IsZero() {
+			i.firstEventAt = time.Now()
+		}
 		if err := i.progress.appendEvent(event, origin); err != nil {
 			return 0, err
 		}
--- a/services/jobhost/schedule.go
+++ b/services/jobhost/schedule.go
@@ -85,7 +85,7 @@
 	if !r.trials.mayRun(now, parts) {
 		return
 	}
-	query := placement.Query{Service: serviceName, Batch: true, Spare: spareSlots}
+	query := placement.Query{Service: serviceName, Batch: true, Spare: spareSlots, Rollout: r.follower.Gate.Service(serviceName)}
 	if service := table.Service(serviceName); service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
 	}
@@ -103,7 +103,7 @@
 	delete(r.paused, ref)
 	runCtx, cancel := context.WithCancelCause(ctx)
 	started := &itemRun{runner: r, ref: ref, target: target, parts: parts, progress: itemProgress, startedAt: now, cancel: cancel,
-		request: r.targetRequest(job, spec, deadline), tokens: spec.Tokens, maxAttempts: job.MaxAttempts, loggedFailures: item.failures}
+		request: r.targetRequest(job, spec, deadline), route: route.Name, tokens: spec.Tokens, maxAttempts: job.MaxAttempts, loggedFailures: item.failures}
 	r.running[ref] = started
 	r.mu.Unlock()
 	r.started.Inc(1)
@@ -177,7 +177,7 @@
 	if pass.fullVersions[origin] {
 		return false
 	}
-	present := origin.Service == query.Service && pass.isPresent(r.follower.Targets, origin)
+	present := origin.Service == query.Service && pass.isPresent(r.follower.Targets, origin) && !r.follower.Gate.Bars(origin.Service, origin.Version, true)
 	if !present && !pass.hasTargets(r.follower.Targets, query.Service) {
 		return false
 	}
--- a/services/standin/target.go
+++ b/services/standin/target.go
@@ -38,6 +38,7 @@
 	StrayResponse   bool          // send a response to another request first
 	Crash           bool          // end the target as soon as it runs the request
 	Mark            string        // follows the data of each event
+	Delay           time.Duration // before a response, or before the first event of a stream
 	CrashInAnswer   bool          // end the target once the response has begun, within its first event or its body
 }
 
@@ -67,6 +68,8 @@
 	mu        sync.Mutex
 	health    string // header that names the target in responses about its health; empty: none
 	behaviour func(id string) Behaviour
+	version   string
+	faults    []Fault
 	runs      []*Run
 }
 
@@ -85,7 +88,7 @@
 // Report returns the report of a target that is ready.
 func (t *Target) Report(service, dataCentre string, slots int) rpc.TargetReport {
 	return rpc.TargetReport{Report: roster.Report{
-		ID: t.ID, Incarnation: 1, Sequence: 1, Service: service, Addr: t.Addr, DataCentre: dataCentre, Version: "v1", Slots: slots, State: roster.Ready,
+		ID: t.ID, Incarnation: 1, Sequence: 1, Service: service, Addr: t.Addr, DataCentre: dataCentre, Version: t.softwareVersion(), Slots: slots, State: roster.Ready,
 	}}
 }
 
@@ -179,6 +182,7 @@
 		t.serveStrayResponse(w, r)
 	}
 	run := t.recordRun(r, id)
+	t.applyFaults(r, &behaviour)
 	if behaviour.Crash {
 		pause.For(r.Context(), behaviour.Pause)
 		t.Crash()
@@ -201,7 +205,7 @@
 		t.serveStream(w, r, behaviour, run)
 		return
 	}
-	time.Sleep(behaviour.Pause)
+	time.Sleep(behaviour.Pause + behaviour.Delay)
 	if behaviour.Status != 0 {
 		w.WriteHeader(behaviour.Status)
 	}
@@ -267,6 +271,7 @@
 		w.WriteHeader(b.Status)
 		return
 	}
+	pause.For(r.Context(), b.Delay)
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w).Flush
 	sent := 0
