Rollouts: a process cut off while a rollout finishes returns to the old version

Cause: during Finishing all requests go to the new version. A process that cannot reach the leader would not learn that it was reverted since, and would send it all its requests without end.

Change: each report that the leader answers confirms the phase. 3 s after the last one, requests go to old targets first, and to the new ones only if no old one answers. Targets of versions that take no requests do not count as capacity of their service.

--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -104,7 +104,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range t.services[service] {
-		if t.outOfService(r.DataCentre) {
+		if t.outOfService(r.DataCentre) || !t.serves(service, r.Version) {
 			continue
 		}
 		slots += slotsOf(r)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -41,6 +41,7 @@
 	limitSequence  uint64                 // of the newest report of this process
 	limitSharer    string                 // name of this process, if it uses only its part of the limits
 	nextPlaces     map[string]time.Time   // by service: until then, places under limits have been promised
+	serves         func(service, version string) bool
 }
 
 type failureState struct {
@@ -64,6 +65,7 @@
 		processes:      1,
 		limits:         make(map[string]*rateLimit),
 		nextPlaces:     make(map[string]time.Time),
+		serves:         func(string, string) bool { return true },
 	}
 }
 
--- a/core/placement/versions.go
+++ b/core/placement/versions.go
@@ -9,6 +9,13 @@
 	"banyanwalk/core/roster"
 )
 
+// CountVersions sets which versions of a service count as its capacity.
+func (t *Targets) CountVersions(serves func(service, version string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.serves = serves
+}
+
 // takesVersion reports whether the version of a target, and the target itself, may get
 // the request.
 func (q *Query) takesVersion(r *roster.Record) bool {
@@ -27,6 +34,13 @@
 	if q.Rollout == nil {
 		return t.bestOrFailed(now, q)
 	}
+	if version, unconfirmed := q.Rollout.Unconfirmed(); unconfirmed && q.Version == nil {
+		old := q
+		old.without = version
+		if chosen := admitted(q, t.best(now, old, false)); chosen != nil {
+			return chosen
+		}
+	}
 	canary, next := q.Rollout.Canary()
 	if canary == "" || q.Version != nil {
 		return admitted(q, t.bestOrFailed(now, q))
--- a/core/placement/versions_test.go
+++ b/core/placement/versions_test.go
@@ -50,6 +50,19 @@
 	gate.SetRollouts([]rollout.Rollout{{Service: "llm", Version: "v2", Phase: rollout.Finishing}})
 	assert.Contains(t, acquire(targets, query), "new")
 	assert.Contains(t, acquire(targets, old), "old", "a stream goes on where it began")
+	slots, _, _ := targets.Free("llm")
+	assert.Equal(t, 128, slots)
+	targets.CountVersions(gate.Serves)
+	slots, _, _ = targets.Free("llm")
+	assert.Equal(t, 64, slots, "the old targets are no capacity any more")
+	now = now.Add(time.Minute) // without a word from the leader
+	for range 20 {
+		assert.Contains(t, acquire(targets, query), "old")
+	}
+	for n := range 8 {
+		targets.Failed(start, fmt.Sprint("old", n))
+	}
+	assert.Contains(t, acquire(targets, query), "new", "the old targets have been stopped")
 	gate.SetRollouts([]rollout.Rollout{{Service: "llm", Version: "v2", Phase: rollout.Reverted}})
 	assert.Contains(t, acquire(targets, query), "old")
 	assert.Empty(t, acquire(targets, resumed))
--- a/core/rollout/gate.go
+++ b/core/rollout/gate.go
@@ -22,6 +22,10 @@
 	// further ones are counted together as OtherRoutes.
 	maxRoutes   = 64
 	maxVersions = 8 // of a service that are counted
+	// finishingLease is how long a process that cannot reach the leader goes on to send
+	// requests to the new version only. It is shorter than the time in which a version
+	// that turns out to be bad must get no more requests (5 s).
+	finishingLease = 3 * time.Second
 )
 
 // OtherRoutes is the route in evidence that stands for all routes beyond the first ones.
@@ -42,6 +46,9 @@
 	now     func() time.Time
 	short   chan<- struct{}
 	rollout atomic.Pointer[Rollout]
+	// confirmedAt is when the phase was last known to be current, in nanoseconds of the
+	// gate's clock.
+	confirmedAt atomic.Int64
 
 	mu         sync.Mutex
 	grants     []grant // sorted by expiry
@@ -91,6 +98,7 @@
 			s = &ServiceGate{now: g.now, short: g.short, askedAt: g.now(),
 				counts: make(map[string]map[string]*Evidence), references: make(map[string]*reference)}
 			s.rollout.Store(&r)
+			s.confirmedAt.Store(g.now().UnixNano())
 			next[r.Service] = s
 			continue
 		}
@@ -111,9 +119,39 @@
 	if another || r.Phase != Canary {
 		s.grants, s.held = nil, 0
 	}
+	if another || former.Phase != r.Phase {
+		s.confirmedAt.Store(s.now().UnixNano())
+	}
 	s.rollout.Store(r)
 }
 
+// Confirm records that the leader has answered a call made at the given time of the
+// gate's clock.
+func (g *Gate) Confirm(calledAt time.Time) {
+	for _, s := range g.all() {
+		if at := calledAt.UnixNano(); at > s.confirmedAt.Load() {
+			s.confirmedAt.Store(at)
+		}
+	}
+}
+
+// Unconfirmed returns the new version if the requests should all go there, but the leader
+// has not confirmed that lately: the version may have been reverted since. The old
+// version is preferred then. After the end of its targets, the new one is used.
+func (s *ServiceGate) Unconfirmed() (version string, unconfirmed bool) {
+	r := s.rollout.Load()
+	return r.Version, r.Phase == Finishing && s.now().UnixNano()-s.confirmedAt.Load() > int64(finishingLease)
+}
+
+// bars reports whether no request may go to a version.
+func (s *ServiceGate) bars(version string, resumed bool) bool {
+	if !s.rollout.Load().bars(version, resumed) {
+		return false
+	}
+	_, unconfirmed := s.Unconfirmed()
+	return !unconfirmed
+}
+
 // Service returns the gate of a service, or nil if no rollout of it is known.
 func (g *Gate) Service(name string) *ServiceGate {
 	services := g.services.Load()
@@ -134,7 +172,14 @@
 // is set for a request that goes on with what the version began.
 func (g *Gate) Bars(service, version string, resumed bool) bool {
 	s := g.Service(service)
-	return s != nil && s.rollout.Load().bars(version, resumed)
+	return s != nil && s.bars(version, resumed)
+}
+
+// Serves reports whether a version serves the requests of a service without grants, so
+// that its targets count as capacity.
+func (g *Gate) Serves(service, version string) bool {
+	s := g.Service(service)
+	return s == nil || !s.bars(version, false) && !s.rollout.Load().needsGrant(version)
 }
 
 // bars reports whether no request may go to a version in this phase. What the old
@@ -159,7 +204,7 @@
 // Allows reports whether Admit would admit a request, without side effects.
 func (s *ServiceGate) Allows(version string, resumed bool) bool {
 	r := s.rollout.Load()
-	if r.bars(version, resumed) {
+	if s.bars(version, resumed) {
 		return false
 	}
 	if !r.needsGrant(version) {
@@ -177,7 +222,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.rollout.Load()
-	if r.bars(version, resumed) {
+	if s.bars(version, resumed) {
 		return false
 	}
 	if !r.needsGrant(version) {
@@ -271,6 +316,16 @@
 	return false
 }
 
+// Finishing reports whether a rollout moves all requests.
+func (g *Gate) Finishing() bool {
+	for _, s := range g.all() {
+		if s.rollout.Load().Phase == Finishing {
+			return true
+		}
+	}
+	return false
+}
+
 // Wanted returns the further requests to new versions that this process asks for: its
 // part of the requests that it will place within grantWindow at the present rate, less
 // those that it may still spend.
--- a/core/rollout/gate_test.go
+++ b/core/rollout/gate_test.go
@@ -104,6 +104,29 @@
 	}
 }
 
+// Guards against a process that is cut off from control while a rollout finishes, and
+// sends all its requests to a version that turns out to be bad.
+func TestCutOffProcessReturnsToOldVersion(t *testing.T) {
+	r := canary()
+	r.Phase = Finishing
+	g, clock := newTestGate(r)
+	for range 20 {
+		clock.advance(250 * time.Millisecond)
+		g.Confirm(clock.now())
+		assert.False(t, g.Admit("llm", "v1"))
+		assert.False(t, g.Serves("llm", "v1"))
+	}
+	clock.advance(finishingLease + time.Millisecond)
+	assert.True(t, g.Admit("llm", "v1"))
+	assert.True(t, g.Admit("llm", "v2"), "if the old targets have ended")
+	g.Confirm(clock.now())
+	assert.False(t, g.Admit("llm", "v1"))
+	r.Phase = Completed
+	g.SetRollouts([]Rollout{r})
+	clock.advance(time.Hour)
+	assert.False(t, g.Admit("llm", "v1"), "the final phase needs no confirmation")
+}
+
 // Guards against grants of a reverted rollout that a second one of the same version
 // spends.
 func TestGrantsEndWithTheirRollout(t *testing.T) {
--- a/services/entry/rollouts_test.go
+++ b/services/entry/rollouts_test.go
@@ -19,6 +19,7 @@
 func (f *fixture) setPhase(phase rollout.Phase) {
 	f.follower.ApplyPush(time.Now(), "test", &rpc.FollowPush{Catalog: rpc.PackCatalog(&catalog.State{Revision: uint64(phase) + 1, Version: 1,
 		Rollouts: []rollout.Rollout{{Service: "llm", Version: "v2", Phase: phase}}}, nil)})
+	f.follower.Gate.Confirm(time.Now().Add(time.Hour)) // the leader stays within reach
 }
 
 // grant lets the gateway send requests to version v2.
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -111,6 +111,7 @@
 		addedControlHosts: make(chan string, maxControlHosts),
 		changed:           make(chan struct{}),
 	}
+	f.Targets.CountVersions(f.Gate.Serves)
 	f.catalog.Store(&catalog.State{})
 	f.verdicts.Store(&map[quarantine.Ref]Verdict{})
 	f.confirmed.Store(int64(boottime.Never))
--- a/services/follow/rollouts.go
+++ b/services/follow/rollouts.go
@@ -91,7 +91,7 @@
 		request.Wanted = append(request.Wanted, rpc.RolloutGrant{Service: w.Service, Version: w.Version, Requests: w.Requests})
 		asked += w.Requests
 	}
-	if len(request.Evidence) == 0 && asked == 0 {
+	if len(request.Evidence) == 0 && asked == 0 && !f.Gate.Finishing() {
 		return
 	}
 	r.asked.Inc(int64(asked))
@@ -106,6 +106,7 @@
 		cancel()
 		if err == nil {
 			r.preferred = host
+			f.Gate.Confirm(calledAt)
 			r.take(calledAt, &response)
 			break
 		}
--- a/services/jobhost/rollouts_test.go
+++ b/services/jobhost/rollouts_test.go
@@ -22,6 +22,7 @@
 	f.revision++
 	f.follower.ApplyPush(time.Now(), "test", &rpc.FollowPush{Catalog: rpc.PackCatalog(&catalog.State{Revision: f.revision, Version: f.revision,
 		InitialHosts: []uint64{id}, Rollouts: []rollout.Rollout{{Service: "llm", Version: "v2", Phase: phase}}}, nil)})
+	f.follower.Gate.Confirm(time.Now().Add(time.Hour)) // the leader stays within reach
 }
 
 // Guards against a broker and a runner that place requests and items at a version
