--- a/core/placement/versions.go
+++ b/core/placement/versions.go
@@ -41,8 +41,15 @@
 			return chosen
 		}
 	}
+	if q.Version != nil {
+		chosen := admitted(q, t.bestOrFailed(now, q))
+		if chosen == nil {
+			q.Rollout.Missed(*q.Version)
+		}
+		return chosen
+	}
 	canary, next := q.Rollout.Canary()
-	if canary == "" || q.Version != nil {
+	if canary == "" {
 		return admitted(q, t.bestOrFailed(now, q))
 	}
 	if next {
--- a/core/rollout/gate.go
+++ b/core/rollout/gate.go
@@ -57,6 +57,9 @@
 	spacing    time.Duration // between two requests to the new version
 	placed     uint64        // requests since askedAt
 	askedAt    time.Time
+	missed     int // resumed requests since askedAt that found no grant
+	reserved   int // requests in grants that only resumed requests may take until reservedTo
+	reservedTo time.Time
 	expired    int // requests of expired grants that TakeExpired has not returned
 	counts     map[string]map[string]*Evidence
 	references map[string]*reference // by route
@@ -240,11 +243,11 @@
 	s.held--
 	s.placed++
 	s.nextAt = now.Add(s.spacing)
+	if resumed {
+		s.reserved = max(0, s.reserved-1)
+	}
 	if s.held == 0 {
-		select {
-		case s.short <- struct{}{}:
-		default:
-		}
+		s.wake()
 	}
 	return true
 }
@@ -261,7 +264,32 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	s.dropExpired(now)
-	return r.Version, s.held > 0 && !now.Before(s.nextAt)
+	free := s.held
+	if now.Before(s.reservedTo) {
+		free -= s.reserved
+	}
+	return r.Version, free > 0 && !now.Before(s.nextAt)
+}
+
+// Missed notes that a request that goes on with what a version began found no target. If
+// it lacks a grant, one is asked for at once and kept for such a request: its caller
+// waits in the middle of a response.
+func (s *ServiceGate) Missed(version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropExpired(s.now())
+	if s.rollout.Load().needsGrant(version) && s.held == 0 {
+		s.missed++
+		s.wake()
+	}
+}
+
+// wake makes the process ask for grants at once.
+func (s *ServiceGate) wake() {
+	select {
+	case s.short <- struct{}{}:
+	default:
+	}
 }
 
 // dropExpired drops expired grants. The caller holds the lock.
@@ -353,13 +381,16 @@
 	now := s.now()
 	s.dropExpired(now)
 	elapsed := max(now.Sub(s.askedAt), time.Millisecond)
-	placed := s.placed
-	s.askedAt, s.placed = now, 0
-	if placed == 0 || s.rollout.Load().Phase != Canary {
+	placed, missed := s.placed, s.missed
+	s.askedAt, s.placed, s.missed = now, 0, 0
+	if placed+uint64(missed) == 0 || s.rollout.Load().Phase != Canary {
 		return 0
 	}
+	if missed > 0 {
+		s.reserved, s.reservedTo = missed, now.Add(2*grantWindow)
+	}
 	expected := float64(placed) * float64(grantWindow) / float64(elapsed)
-	return min(maxAsked, int(math.Ceil(expected*askedShare))) - s.held
+	return min(maxAsked, missed+int(math.Ceil(expected*askedShare))) - s.held
 }
 
 // TakeExpired returns the requests of grants that have expired unspent since the last
--- a/core/rollout/gate_test.go
+++ b/core/rollout/gate_test.go
@@ -192,4 +192,29 @@
 		}
 	}
 	assert.Equal(t, 10, spent)
+
+	// A stream that goes on at the new version gets the next grant.
+	s := g.Service("llm")
+	clock.advance(time.Second)
+	s.Missed("v2")
+	s.Missed("v1")
+	wanted := g.Wanted()
+	assert.Len(t, wanted, 1)
+	g.AddGrant("llm", "v2", 1, clock.now().Add(time.Second))
+	_, next := s.Canary()
+	assert.False(t, next, "it is reserved")
+	assert.True(t, s.Admit("v2", true))
+}
+
+// BenchmarkGateWithoutRollout shows the cost on the path of each request while no rollout
+// is known.
+func BenchmarkGateWithoutRollout(b *testing.B) {
+	g := NewGate(time.Now)
+	for b.Loop() {
+		if g.Service("llm") != nil {
+			b.Fatal("there is no rollout")
+		}
+		g.Sent("llm", "v1", "r")
+		g.Observe("llm", "v1", "r", Answer{})
+	}
 }
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -306,6 +306,9 @@
 		return outcome.New(outcome.VersionGone, f.outcomeSoFar(), "no target of service %s runs version %s", f.service, *f.version).WithRetryAfter(noTargetRetryAfter)
 	}
 	acquired, failure := f.acquireSlot(service, query)
+	for deadline := time.Now().Add(resumeGrantWait); failure != nil && f.awaitGrant(deadline); {
+		acquired, failure = f.acquireSlot(service, query)
+	}
 	f.sentAfter = time.Since(f.call.started)
 	if failure != nil {
 		return failure.WithOutcome(f.outcomeSoFar())
--- a/services/entry/rollouts.go
+++ b/services/entry/rollouts.go
@@ -9,9 +9,30 @@
 
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/rollout"
+	"banyanwalk/infra/pause"
 	"banyanwalk/services/targetcall"
 )
 
+const (
+	// resumeGrantWait is how long a stream that goes on at a new version waits for a
+	// grant. No pause may exceed 250 ms.
+	resumeGrantWait  = 200 * time.Millisecond
+	resumeGrantRetry = 40 * time.Millisecond
+)
+
+// awaitGrant pauses a stream that goes on at a version whose requests need grants, and
+// reports whether to try again.
+func (f *forwarding) awaitGrant(deadline time.Time) bool {
+	if f.version == nil || time.Now().Add(resumeGrantRetry).After(deadline) {
+		return false
+	}
+	gate := f.server.follower.Gate
+	if gate.Bars(f.service, *f.version, true) || gate.Serves(f.service, *f.version) {
+		return false
+	}
+	return pause.For(f.ctx, resumeGrantRetry)
+}
+
 // exchange is what is measured of the request at its present target.
 type exchange struct {
 	startedAt time.Time
--- a/services/follow/rollouts.go
+++ b/services/follow/rollouts.go
@@ -107,7 +107,10 @@
 		if err == nil {
 			r.preferred = host
 			f.Gate.Confirm(calledAt)
-			r.take(calledAt, &response)
+			received := r.take(calledAt, &response)
+			if asked > 0 || received > 0 {
+				f.cfg.Log.Info("rollout_grants", "asked", asked, "received", received, "from", host)
+			}
 			break
 		}
 		// The grants may have been logged, and their response lost. Asking another
@@ -136,11 +139,14 @@
 	return hosts
 }
 
-func (r *rolloutReporter) take(calledAt time.Time, response *rpc.RolloutGrants) {
+// take adds the grants of a response and returns how many requests they allow.
+func (r *rolloutReporter) take(calledAt time.Time, response *rpc.RolloutGrants) (received int) {
 	for _, g := range response.Grants {
-		r.granted.Inc(int64(g.Requests))
+		received += g.Requests
 		r.follower.Gate.AddGrant(g.Service, g.Version, g.Requests, calledAt.Add(time.Duration(g.TTLMS)*time.Millisecond))
 	}
+	r.granted.Inc(int64(received))
+	return received
 }
 
 // takeRollouts hands the rollouts of a newer catalog to the gate.
--- a/services/follow/rollouts_test.go
+++ b/services/follow/rollouts_test.go
@@ -185,12 +185,12 @@
 	time.Sleep(stubGrantTTL + rolloutInterval)
 	before, _ := sent()
 	time.Sleep(500 * time.Millisecond)
-	fresh, old := sent()
+	fresh, _ := sent()
 	assert.Equal(t, before, fresh, "no grants without a leader")
 	leader.silent.Store(false)
 	require.Eventually(t, func() bool { now, _ := sent(); return now > fresh }, 5*time.Second, 10*time.Millisecond)
 
-	fresh, old = sent()
+	fresh, old := sent()
 	leader.mu.Lock()
 	granted, calls := leader.granted, leader.calls["g1"]
 	leader.mu.Unlock()
--- a/tests/site/rollouts_test.go
+++ b/tests/site/rollouts_test.go
@@ -132,3 +132,96 @@
 		assert.Greater(t, traffic.served[g.Name], 100, g.Name)
 	}
 }
+
+// Guards against streams that join two versions or break while a good version takes over,
+// and against requests at the old targets by the time that these are stopped. Control is
+// a stub; the gateways are real processes.
+func TestStreamsEndAtOldTargetsBeforeTheyStop(t *testing.T) {
+	s := New(binaries, t.TempDir(), rolloutNetwork+1, 2, 1, 0)
+	t.Cleanup(func() {
+		s.Close()
+		assert.Empty(t, s.RaceAndPanicLines())
+	})
+	var old, fresh []*standin.Target
+	var reports []rpc.TargetReport
+	for n := range 6 {
+		target, err := standin.NewTarget(fmt.Sprint("t", n), platform.HeaderNames(), standin.Behaviour{})
+		require.NoError(t, err)
+		t.Cleanup(target.Close)
+		mark := "-v1"
+		if n%2 == 1 {
+			target.SetVersion("v2")
+			mark = "-v2"
+			fresh = append(fresh, target)
+		} else {
+			old = append(old, target)
+		}
+		target.SetBehaviour(func(id string) standin.Behaviour {
+			b := standin.Behaviour{Events: 20, Pause: 5 * time.Millisecond, Mark: mark}
+			if id[len(id)-1]%8 == 0 && len(id)%3 > 0 && n < 2 {
+				b.BreakAfter = 7
+			}
+			return b
+		})
+		reports = append(reports, target.Report("llm", "za", 8))
+	}
+	_, configuration := s.NextConfiguration("llm")
+	control, err := s.StartStubControl(configuration, reports, 0.1, 20, rolloutGrantTTL)
+	require.NoError(t, err)
+	t.Cleanup(control.Close)
+	order := rollout.Rollout{Service: "llm", Version: "v2", Phase: rollout.Canary, StartedMS: 1, DurationMS: 60_000}
+	control.SetRollout(order)
+	for _, g := range s.Role(Gateway) {
+		require.NoError(t, g.Start())
+	}
+	for _, g := range s.Role(Gateway) {
+		awaitServed(t, s, g, "/ask/x", "first")
+	}
+	var mu sync.Mutex
+	whole, joined, broken := 0, 0, 0
+	var wg conc.WaitGroup
+	end := time.Now().Add(5 * time.Second)
+	for _, g := range s.Role(Gateway) {
+		for caller := range 4 {
+			wg.Go(func() {
+				for n := 0; time.Now().Before(end); n++ {
+					response := s.Send(t.Context(), g, http.MethodPost, "/ask/x", fmt.Sprintf("%s.%d.%d", g.Name, caller, n), []byte("body"))
+					mu.Lock()
+					switch {
+					case response.Err != nil || strings.Count(response.Body, "data:") != 20:
+						broken++
+					case strings.Contains(response.Body, "-v1") && strings.Contains(response.Body, "-v2"):
+						joined++
+					default:
+						whole++
+					}
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	time.Sleep(1500 * time.Millisecond)
+	order.Phase = rollout.Finishing
+	control.SetRollout(order)
+	time.Sleep(1500 * time.Millisecond)
+	finished := time.Now()
+	started := 0
+	for _, target := range old {
+		for _, run := range target.Runs() {
+			started++
+			assert.Less(t, run.StartedAt.Sub(finished), -500*time.Millisecond, "a request at the old version")
+		}
+		target.Close()
+	}
+	order.Phase = rollout.Completed
+	control.SetRollout(order)
+	wg.Wait()
+	moved := 0
+	for _, target := range fresh {
+		moved += len(target.Runs())
+	}
+	t.Logf("%d whole, %d joined, %d broken; %d runs at old targets, %d at new ones", whole, joined, broken, started, moved)
+	assert.Zero(t, joined)
+	assert.Zero(t, broken)
+	assert.Greater(t, whole, 50)
+}
