Rollouts: requests counted with their grants, Finishing confirmed by grants of no requests

Cause: the leader takes grants back that a process has let expire, by the requests that the process reports. The broker reported none, since the gateways counted them, so all its grants would have been handed out again.

Change: Evidence.Requests counts the targets that a process has chosen, with an empty route. A grant of no requests confirms Finishing for its time to live.

Result: tests of core/rollout, core/placement, services/follow, services/entry and services/jobhost that concern rollouts pass.

--- a/core/rollout/gate.go
+++ b/core/rollout/gate.go
@@ -22,10 +22,10 @@
 	// further ones are counted together as OtherRoutes.
 	maxRoutes   = 64
 	maxVersions = 8 // of a service that are counted
-	// finishingLease is how long a process that cannot reach the leader goes on to send
-	// requests to the new version only. It is shorter than the time in which a version
-	// that turns out to be bad must get no more requests (5 s).
-	finishingLease = 3 * time.Second
+	// finishingLease is how long after it has learned of Finishing a process needs no
+	// confirmation by the leader. It is shorter than the time after which a version that
+	// turns out to be bad must get no more requests (5 s).
+	finishingLease = 2 * time.Second
 )
 
 // OtherRoutes is the route in evidence that stands for all routes beyond the first ones.
@@ -46,9 +46,9 @@
 	now     func() time.Time
 	short   chan<- struct{}
 	rollout atomic.Pointer[Rollout]
-	// confirmedAt is when the phase was last known to be current, in nanoseconds of the
-	// gate's clock.
-	confirmedAt atomic.Int64
+	// confirmedTo is until when Finishing counts as current, in nanoseconds of the gate's
+	// clock.
+	confirmedTo atomic.Int64
 
 	mu         sync.Mutex
 	grants     []grant // sorted by expiry
@@ -101,7 +101,7 @@
 			s = &ServiceGate{now: g.now, short: g.short, askedAt: g.now(),
 				counts: make(map[string]map[string]*Evidence), references: make(map[string]*reference)}
 			s.rollout.Store(&r)
-			s.confirmedAt.Store(g.now().UnixNano())
+			s.confirmedTo.Store(g.now().Add(finishingLease).UnixNano())
 			next[r.Service] = s
 			continue
 		}
@@ -123,18 +123,20 @@
 		s.grants, s.held = nil, 0
 	}
 	if another || former.Phase != r.Phase {
-		s.confirmedAt.Store(s.now().UnixNano())
+		s.confirmedTo.Store(s.now().Add(finishingLease).UnixNano())
 	}
 	s.rollout.Store(r)
 }
 
-// Confirm records that the leader has answered a call made at the given time of the
-// gate's clock.
-func (g *Gate) Confirm(calledAt time.Time) {
-	for _, s := range g.all() {
-		if at := calledAt.UnixNano(); at > s.confirmedAt.Load() {
-			s.confirmedAt.Store(at)
-		}
+// Confirm records that the leader has confirmed Finishing until a time of the gate's
+// clock.
+func (g *Gate) Confirm(service, version string, until time.Time) {
+	s := g.Service(service)
+	if s == nil || s.rollout.Load().Version != version {
+		return
+	}
+	if at := until.UnixNano(); at > s.confirmedTo.Load() {
+		s.confirmedTo.Store(at)
 	}
 }
 
@@ -143,7 +145,7 @@
 // version is preferred then. After the end of its targets, the new one is used.
 func (s *ServiceGate) Unconfirmed() (version string, unconfirmed bool) {
 	r := s.rollout.Load()
-	return r.Version, r.Phase == Finishing && s.now().UnixNano()-s.confirmedAt.Load() > int64(finishingLease)
+	return r.Version, r.Phase == Finishing && s.now().UnixNano() > s.confirmedTo.Load()
 }
 
 // bars reports whether no request may go to a version.
@@ -229,7 +231,7 @@
 		return false
 	}
 	if !r.needsGrant(version) {
-		s.placed++
+		s.countPlaced(r.Service, version)
 		return true
 	}
 	now := s.now()
@@ -241,7 +243,7 @@
 		s.grants = s.grants[1:]
 	}
 	s.held--
-	s.placed++
+	s.countPlaced(r.Service, version)
 	s.nextAt = now.Add(s.spacing)
 	if resumed {
 		s.reserved = max(0, s.reserved-1)
@@ -252,6 +254,16 @@
 	return true
 }
 
+// countPlaced counts a request whose target this process has chosen. It is counted with
+// the grant, so that the leader can tell from each later report which grants were spent;
+// its route may be unknown here. The caller holds the lock.
+func (s *ServiceGate) countPlaced(service, version string) {
+	s.placed++
+	if e := s.evidence(service, version, ""); e != nil {
+		e.Requests++
+	}
+}
+
 // Canary returns the new version while its requests need grants, else an empty one, and
 // whether the next request should go there. Requests of a grant are spread over
 // grantWindow.
@@ -409,18 +421,6 @@
 	return expired
 }
 
-// Sent counts a request that a target has taken. A response that says that another
-// target serves the address, and a refusal, are no such request.
-func (g *Gate) Sent(service, version, route string) {
-	if s := g.Service(service); s != nil {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if e := s.evidence(service, version, route); e != nil {
-			e.Requests++
-		}
-	}
-}
-
 // Observe counts how a request at a target ended.
 func (g *Gate) Observe(service, version, route string, a Answer) {
 	if s := g.Service(service); s != nil {
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -62,7 +62,7 @@
 	Service  string `msgpack:"s"`
 	Version  string `msgpack:"v"`
 	Route    string `msgpack:"r"`
-	Requests uint64 `msgpack:"n"` // sent to targets
+	Requests uint64 `msgpack:"n"` // whose target the process has chosen; with an empty route
 	Answers  uint64 `msgpack:"a"`
 	Failed   uint64 `msgpack:"f"`
 	Slow     uint64 `msgpack:"l"`
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -175,7 +175,8 @@
 	Wanted      []RolloutGrant     `msgpack:"w,omitempty"`
 }
 
-// RolloutGrant is a number of requests to the new version of a service.
+// RolloutGrant is a number of requests to the new version of a service. A grant of no
+// requests says that the rollout is in rollout.Finishing, for TTLMS.
 type RolloutGrant struct {
 	Service  string `msgpack:"s"`
 	Version  string `msgpack:"v"`
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -255,7 +255,6 @@
 		if err == nil {
 			f.executions++
 			f.response = response
-			f.noteSent()
 			return nil
 		}
 		var failure *targetcall.Failure
@@ -266,7 +265,6 @@
 			f.refusals++
 		} else {
 			f.executions++
-			f.noteSent()
 		}
 		f.recordFailure(failure)
 		if final := f.checkRetry(failure.Outcome); final != nil {
--- a/services/entry/rollouts.go
+++ b/services/entry/rollouts.go
@@ -63,11 +63,6 @@
 	return a
 }
 
-// noteSent counts a request that a target has taken, as evidence on a rollout.
-func (f *forwarding) noteSent() {
-	f.server.follower.Gate.Sent(f.service, f.target.Version, f.call.route.Name)
-}
-
 // noteAnswered counts the end of a response, as evidence on a rollout.
 func (f *forwarding) noteAnswered() {
 	if f.exchange.observed || f.target == nil || f.response == nil {
--- a/services/follow/rollouts.go
+++ b/services/follow/rollouts.go
@@ -106,7 +106,6 @@
 		cancel()
 		if err == nil {
 			r.preferred = host
-			f.Gate.Confirm(calledAt)
 			received := r.take(calledAt, &response)
 			if asked > 0 || received > 0 {
 				f.cfg.Log.Info("rollout_grants", "asked", asked, "received", received, "from", host)
@@ -142,8 +141,13 @@
 // take adds the grants of a response and returns how many requests they allow.
 func (r *rolloutReporter) take(calledAt time.Time, response *rpc.RolloutGrants) (received int) {
 	for _, g := range response.Grants {
+		until := calledAt.Add(time.Duration(g.TTLMS) * time.Millisecond)
+		if g.Requests == 0 { // the rollout is in Finishing
+			r.follower.Gate.Confirm(g.Service, g.Version, until)
+			continue
+		}
 		received += g.Requests
-		r.follower.Gate.AddGrant(g.Service, g.Version, g.Requests, calledAt.Add(time.Duration(g.TTLMS)*time.Millisecond))
+		r.follower.Gate.AddGrant(g.Service, g.Version, g.Requests, until)
 	}
 	r.granted.Inc(int64(received))
 	return received
--- a/services/jobhost/rollouts.go
+++ b/services/jobhost/rollouts.go
@@ -20,7 +20,6 @@
 	if errors.As(err, &failure) && failure.Outcome == outcome.NotRun {
 		return
 	}
-	gate.Sent(service, version, i.route)
 	latency := time.Since(i.startedAt)
 	if !i.firstEventAt.IsZero() {
 		latency = i.firstEventAt.Sub(i.startedAt)
