--- a/core/rollout/gate.go
+++ b/core/rollout/gate.go
@@ -51,8 +51,8 @@
 	confirmedTo atomic.Int64
 
 	mu         sync.Mutex
-	grants     []grant // sorted by expiry
-	held       int     // requests in grants
+	grants     []heldGrant // sorted by expiry
+	held       int         // requests in grants
 	nextAt     time.Time
 	spacing    time.Duration // between two requests to the new version
 	placed     uint64        // requests since askedAt
@@ -65,7 +65,7 @@
 	references map[string]*reference // by route
 }
 
-type grant struct {
+type heldGrant struct {
 	requests int
 	expires  time.Time
 }
@@ -332,8 +332,8 @@
 		s.expired += n
 		return
 	}
-	s.grants = append(s.grants, grant{requests: n, expires: expires})
-	slices.SortFunc(s.grants, func(a, b grant) int { return a.expires.Compare(b.expires) })
+	s.grants = append(s.grants, heldGrant{requests: n, expires: expires})
+	slices.SortFunc(s.grants, func(a, b heldGrant) int { return a.expires.Compare(b.expires) })
 	s.held += n
 	s.spacing = grantWindow / time.Duration(s.held)
 }
