--- a/core/placement/room.go
+++ b/core/placement/room.go
@@ -20,7 +20,7 @@
 	defer t.mu.Unlock()
 	var room Room
 	for _, r := range t.services[q.Service] {
-		if q.Exclude[r.ID] || t.outOfService(r.DataCentre) || q.Version != nil && r.Version != *q.Version {
+		if q.Exclude[r.ID] || t.outOfService(r.DataCentre) || !q.takesVersion(r) || q.Version == nil && !t.serves(q.Service, r.Version) {
 			continue
 		}
 		if t.inBackoff(now, r.ID) || !t.underWarmupLimit(now, r, q) || !t.underRateLimit(now, r, q.Batch) {
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -56,6 +56,7 @@
 type Answer struct {
 	Failed  bool
 	Latency time.Duration // until the response, or until a stream's first event
+	Gap     time.Duration // mean time between a stream's events; 0: unknown
 }
 
 // Evidence counts, for one service, version and route, what one process has seen since
@@ -64,7 +65,7 @@
 	Service  string `msgpack:"s"`
 	Version  string `msgpack:"v"`
 	Route    string `msgpack:"r"`
-	Requests uint64 `msgpack:"n"` // sent to targets
+	Requests uint64 `msgpack:"n"` // whose target the process has chosen; with an empty route
 	Answers  uint64 `msgpack:"a"`
 	Failed   uint64 `msgpack:"f"`
 	Slow     uint64 `msgpack:"l"`
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -66,6 +66,7 @@
 	onTrial      bool              // the current run is a trial
 	trialCrashes int               // crashes known when it began
 	response     *targetcall.Response
+	exchange     exchange // with target
 }
 
 // forward sends a request to a target and returns the response to the caller.
@@ -141,6 +142,7 @@
 		body, taken, err := f.server.bodies.read(f.response)
 		f.server.bodies.give(taken)
 		if err == nil {
+			f.noteAnswered()
 			if f.shouldRetryStatus(f.response.Status) {
 				f.tried[f.target.ID] = true
 				f.releaseTarget()
@@ -248,6 +250,7 @@
 			f.releaseTarget()
 			return failure
 		}
+		f.exchange = exchange{startedAt: time.Now()}
 		response, err := f.server.targetClient.Do(f.ctx, f.target, f.request)
 		if err == nil {
 			f.executions++
@@ -293,14 +296,17 @@
 func (f *forwarding) acquireTarget() *outcome.Error {
 	s := f.server
 	service := f.call.table.Service(f.service)
-	query := placement.Query{Service: f.service, Exclude: f.tried, Version: f.version}
+	query := placement.Query{Service: f.service, Exclude: f.tried, Version: f.version, Rollout: s.follower.Gate.Service(f.service)}
 	if service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
 	}
-	if f.version != nil && !s.follower.Targets.HasVersion(f.service, *f.version) {
+	if f.version != nil && (!s.follower.Targets.HasVersion(f.service, *f.version) || s.follower.Gate.Bars(f.service, *f.version, true)) {
 		return outcome.New(outcome.VersionGone, f.outcomeSoFar(), "no target of service %s runs version %s", f.service, *f.version).WithRetryAfter(noTargetRetryAfter)
 	}
 	acquired, failure := f.acquireSlot(service, query)
+	for deadline := time.Now().Add(resumeGrantWait); failure != nil && f.awaitGrant(deadline); {
+		acquired, failure = f.acquireSlot(service, query)
+	}
 	f.sentAfter = time.Since(f.call.started)
 	if failure != nil {
 		return failure.WithOutcome(f.outcomeSoFar())
@@ -351,6 +357,7 @@
 func (f *forwarding) recordFailure(failure *targetcall.Failure) {
 	s := f.server
 	f.tried[f.target.ID] = true
+	f.noteFailed(failure)
 	if !failure.IsBusy() && f.ctx.Err() == nil {
 		f.targetFailed = true
 		s.follower.Targets.Failed(time.Now(), f.target.ID)
--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -140,6 +140,7 @@
 // query returns the placement of a request. Only model engines have a bounded queue.
 func (b *broker) query(r *rpc.SlotRequest) placement.Query {
 	query := placement.Query{Service: r.Service, DataCentre: r.DataCentre, Exclude: make(map[string]bool, len(r.Exclude)), Version: r.Version}
+	query.Rollout = b.server.cfg.Follower.Gate.Service(r.Service)
 	for _, id := range r.Exclude {
 		query.Exclude[id] = true
 	}
