Choose targets by expected completion where they differ; count tokens

Targets of one service may differ in speed and change many times a second, but the choice knew only the share of slots in use. A target that holds more tokens than its memory crashes, and nothing counted them.

core/placement learns for each process of a target its speed from runs, its pace from the load header and a concurrency limit, and chooses by expected completion where a target names its pace or speeds differ by a third. Tokens are counted with the requests, in parts for the broker, a broker that has just begun and gateways without one, so that the sum stays under 9 tenths of the memory. Gateways report runs and unexpected paces with the release of slots.

--- a/cmd/banyan-site-gateway/main.go
+++ b/cmd/banyan-site-gateway/main.go
@@ -36,6 +36,7 @@
 		HeaderNames:      platform.HeaderNames(),
 		Jobs:             platform.JobCalls{},
 		PromptParts:      platform.SharedPromptParts,
+		RequestTokens:    platform.RequestTokens,
 		Log:              p.Log,
 		Metrics:          p.Metrics,
 		Grace:            p.Settings.ShutdownGrace,
--- a/cmd/banyan-site-store/main.go
+++ b/cmd/banyan-site-store/main.go
@@ -43,6 +43,7 @@
 		JobRetention: p.Settings.JobRetention + jobRetentionMargin,
 		HeaderNames:  platform.HeaderNames(),
 		PromptParts:  platform.ItemPromptParts,
+		ItemTokens:   platform.ItemTokens,
 		Log:          p.Log,
 		Metrics:      p.Metrics,
 	})
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -15,6 +15,8 @@
 	Batch           bool
 	Spare           int             // slots of a target that a batch item must leave free
 	Exclude         map[string]bool // ids of targets already tried
+	Tokens          int64           // that the target holds for the request; 0: unknown
+	Memory          int64           // tokens that a target can hold; 0: unknown
 	Version         *string         // that the target's software must have; nil: any
 }
 
@@ -33,6 +35,7 @@
 	}
 	full = t.total(best.ID) >= slotsOf(best) && t.ownLoads[best.ID].Batch+t.peerLoads[best.ID].Batch > 0
 	t.addOwn(best.ID, q.Batch, 1)
+	t.addTokens(best.ID, q.Batch, q.HeldTokens())
 	t.useColdAllowance(now, best)
 	t.useRateLimit(best)
 	return best, full
@@ -60,7 +63,8 @@
 	return len(expiries)
 }
 
-// best returns the target with the lowest utilization. If includeFailed is true,
+// best returns the target with the lowest utilization, or with the lowest expected
+// completion where the targets of a service differ. If includeFailed is true,
 // targets in backoff after a failure are considered too.
 func (t *Targets) best(now time.Time, q Query, includeFailed bool) *roster.Record {
 	var best *roster.Record
@@ -69,17 +73,24 @@
 	if preferred == "" {
 		preferred = t.dataCentre
 	}
+	bySpeed := t.choosesBySpeed(now, q.Service)
 	for _, r := range t.services[q.Service] {
 		if q.Exclude[r.ID] || t.outOfService(r.DataCentre) || !t.underWarmupLimit(now, r, q) || !t.underRateLimit(now, r, q.Batch) {
 			continue
 		}
+		if !t.hasMemory(now, r, &q) {
+			continue
+		}
 		if q.Version != nil && r.Version != *q.Version {
 			continue
 		}
 		if !includeFailed && t.inBackoff(now, r.ID) {
 			continue
 		}
-		utilization := t.utilization(r)
+		cost := t.utilization(r)
+		if bySpeed {
+			cost = t.completionCost(now, r)
+		}
 		if q.Batch && t.total(r.ID)+t.reserved(now, r.ID)+spareAt(r, q.Spare) >= slotsOf(r) {
 			continue
 		}
@@ -87,10 +98,10 @@
 			continue
 		}
 		if r.DataCentre != preferred {
-			utilization += remotePenalty
+			cost += remotePenalty
 		}
-		if best == nil || utilization < least {
-			best, least = r, utilization
+		if best == nil || cost < least {
+			best, least = r, cost
 		}
 	}
 	return best
--- /dev/null
+++ b/core/placement/completion.go
@@ -0,0 +1,62 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"banyanwalk/core/roster"
+)
+
+// processSpread is how much the costs of a target differ between the processes that
+// place requests without the broker. Their knowledge is 200 ms old, and with equal
+// costs all of them would choose the same target.
+const processSpread = 0.3
+
+// completionCost returns the expected completion of one more request at a target,
+// relative to that at a usual target and by the share of its slots in use. Beyond the
+// concurrency limit it rises with the square of the requests there. A full target
+// costs more than any with a free slot; as in utilization, only online requests count
+// there. The caller holds the lock.
+func (t *Targets) completionCost(now time.Time, r *roster.Record) float64 {
+	slots := float64(slotsOf(r))
+	n, full := float64(t.total(r.ID)+1), 0.0
+	if n > slots {
+		n, full = float64(t.online(r.ID)+1), fullCost
+	}
+	relative, limit := t.relativeTime(now, r), t.limitOfSlots(r)
+	cost := relative * n / slots * max(1, n/limit)
+	if t.limitSharer != "" {
+		cost *= 1 + processSpread*t.position(r.ID)
+	}
+	return full + cost
+}
+
+// fullCost exceeds the cost of a free slot at any usual target.
+const fullCost = 10
+
+// relativeTime returns how long a target takes for a request, relative to the mean of
+// its service. The caller holds the lock.
+func (t *Targets) relativeTime(now time.Time, r *roster.Record) float64 {
+	s := t.speeds[r.ID]
+	if s == nil || s.incarnation != r.Incarnation {
+		return 1
+	}
+	base := 1.0
+	if s.learned {
+		base = blend(math.Exp(s.unit-t.differs(r.Service).meanUnit), 1, now.Sub(s.ranAt), speedMemory)
+	}
+	return base * s.paceNow(now)
+}
+
+// limitOfSlots returns the concurrency limit of a target. The caller holds the lock.
+func (t *Targets) limitOfSlots(r *roster.Record) float64 {
+	s := t.speeds[r.ID]
+	if s == nil || s.incarnation != r.Incarnation {
+		return newConcurrencyLimit(slotsOf(r)).value
+	}
+	limit := min(s.limit.value, float64(slotsOf(r)))
+	if s.namedSlots > 0 {
+		limit = min(limit, float64(s.namedSlots))
+	}
+	return limit
+}
--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -9,10 +9,16 @@
 	Online   int `msgpack:"o"`
 	Batch    int `msgpack:"b"`
 	Brokered int `msgpack:"k,omitempty"` // part of Online whose target was chosen by one particular broker
+
+	Tokens         int64 `msgpack:"t,omitempty"` // that the online requests hold
+	BatchTokens    int64 `msgpack:"u,omitempty"` // that the batch items hold
+	BrokeredTokens int64 `msgpack:"v,omitempty"` // part of Tokens, as Brokered
 }
 
 // Direct returns the load without the requests placed by the broker.
-func (l Load) Direct() Load { return Load{Online: l.Online - l.Brokered, Batch: l.Batch} }
+func (l Load) Direct() Load {
+	return Load{Online: l.Online - l.Brokered, Batch: l.Batch, Tokens: l.Tokens - l.BrokeredTokens, BatchTokens: l.BatchTokens}
+}
 
 // brokerTarget is the key under which requests placed by a broker are counted.
 type brokerTarget struct {
@@ -28,6 +34,7 @@
 	own := make(map[string]Load, len(t.ownLoads))
 	for id, load := range t.ownLoads {
 		load.Brokered = t.brokered[brokerTarget{broker, id}]
+		load.BrokeredTokens = t.brokeredTokens[brokerTarget{broker, id}]
 		own[id] = load
 	}
 	return own
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -32,15 +32,20 @@
 	outOfService   func(dataCentre string) bool
 	ownLoads       map[string]Load
 	brokered       map[brokerTarget]int
+	brokeredTokens map[brokerTarget]int64
 	peerLoads      map[string]Load
 	failures       map[string]*failureState
 	coldAllowances map[string]*bucket
 	reservations   map[string][]time.Time // expiry times of slots reserved against batch items
 	processes      int                    // number of processes that share the warmup rate of a cold target
+	gateways       int                    // largest number known, including this process; 0: unknown
+	handoverUntil  time.Time              // until then, what another broker has placed may be unknown
 	limits         map[string]*rateLimit  // that targets have named, by id
 	limitSequence  uint64                 // of the newest report of this process
 	limitSharer    string                 // name of this process, if it uses only its part of the limits
 	nextPlaces     map[string]time.Time   // by service: until then, places under limits have been promised
+	speeds         map[string]*speed      // by target
+	serviceSpeeds  map[string]*serviceSpeed
 }
 
 type failureState struct {
@@ -57,6 +62,7 @@
 		outOfService:   func(string) bool { return false },
 		ownLoads:       make(map[string]Load),
 		brokered:       make(map[brokerTarget]int),
+		brokeredTokens: make(map[brokerTarget]int64),
 		peerLoads:      make(map[string]Load),
 		failures:       make(map[string]*failureState),
 		coldAllowances: make(map[string]*bucket),
@@ -64,6 +70,8 @@
 		processes:      1,
 		limits:         make(map[string]*rateLimit),
 		nextPlaces:     make(map[string]time.Time),
+		speeds:         make(map[string]*speed),
+		serviceSpeeds:  make(map[string]*serviceSpeed),
 	}
 }
 
@@ -83,6 +91,7 @@
 		if current := byID[id]; current == nil || current.Incarnation != former.Incarnation {
 			delete(t.failures, id)
 			delete(t.coldAllowances, id)
+			delete(t.speeds, id)
 		}
 		if current := byID[id]; current == nil {
 			delete(t.limits, id)
@@ -127,6 +136,9 @@
 	backoff := min(initialBackoff<<min(f.count, 10), maxBackoff)
 	f.count++
 	f.until = now.Add(backoff)
+	if s := t.speeds[id]; s != nil {
+		s.limit.failed()
+	}
 }
 
 // Succeeded records that a target has answered, which ends its backoff.
--- a/core/placement/ratelimit.go
+++ b/core/placement/ratelimit.go
@@ -67,10 +67,11 @@
 }
 
 // DrainLimits empties the buckets of all limits, since another process may just have
-// used the limits whole.
+// used the limits whole, and leaves the memory that its requests may still hold.
 func (t *Targets) DrainLimits(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.handoverUntil = now.Add(handoverTime)
 	for _, l := range t.limits {
 		l.tokens, l.filledAt = 0, now
 	}
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -276,8 +276,9 @@
 // SlotGrant is the response to SlotRequest and names the target.
 type SlotGrant struct {
 	Target  string `msgpack:"t"`
-	Total   int    `msgpack:"n"` // requests at the target, including this one
-	Version string `msgpack:"v"` // of the target's software, as the broker knows it
+	Total   int    `msgpack:"n"`           // requests at the target, including this one
+	Version string `msgpack:"v"`           // of the target's software, as the broker knows it
+	Pace    int    `msgpack:"p,omitempty"` // that the broker expects of the target, percent; 0: unknown
 }
 
 // StreamFind asks where a stream began that its caller takes up again. Service is the
@@ -299,7 +300,10 @@
 }
 
 // SlotRelease releases slots. Failed lists the IDs of targets that failed a request.
+// Runs and Loads tell what the gateway saw of targets; Loads also come without releases.
 type SlotRelease struct {
-	IDs    []SlotID `msgpack:"i"`
-	Failed []string `msgpack:"f,omitempty"`
+	IDs    []SlotID               `msgpack:"i"`
+	Failed []string               `msgpack:"f,omitempty"`
+	Runs   []placement.RunReport  `msgpack:"r,omitempty"`
+	Loads  []placement.LoadReport `msgpack:"l,omitempty"`
 }
--- a/services/director/sums.go
+++ b/services/director/sums.go
@@ -63,6 +63,9 @@
 			total.Online += at.Online
 			total.Batch += at.Batch
 			total.Brokered += brokered(&m.load, sums.brokerID, at)
+			total.Tokens += at.Tokens
+			total.BatchTokens += at.BatchTokens
+			total.BrokeredTokens += brokeredTokens(&m.load, sums.brokerID, at)
 			sums.loads[id] = total
 		}
 	}
@@ -77,6 +80,14 @@
 	return at.Brokered
 }
 
+// brokeredTokens is brokered for the tokens of these requests.
+func brokeredTokens(load *rpc.MemberLoad, brokerID uint64, at placement.Load) int64 {
+	if load.BrokerID != brokerID {
+		return 0
+	}
+	return at.BrokeredTokens
+}
+
 // subtractLoads takes the load of one member off a sum that includes it.
 func subtractLoads(sum *rpc.PeerLoads, own *rpc.MemberLoad) {
 	for id, at := range own.Loads {
@@ -84,6 +95,9 @@
 		total.Online -= at.Online
 		total.Batch -= at.Batch
 		total.Brokered -= brokered(own, sum.BrokerID, at)
+		total.Tokens -= at.Tokens
+		total.BatchTokens -= at.BatchTokens
+		total.BrokeredTokens -= brokeredTokens(own, sum.BrokerID, at)
 		if total == (placement.Load{}) {
 			delete(sum.Loads, id)
 			continue
--- a/services/director/sums_test.go
+++ b/services/director/sums_test.go
@@ -26,6 +26,8 @@
 			total := loads[id]
 			total.Online += at.Online
 			total.Batch += at.Batch
+			total.Tokens += at.Tokens
+			total.BatchTokens += at.BatchTokens
 			loads[id] = total
 		}
 	}
@@ -53,7 +55,7 @@
 				}
 			}
 			if online := rapid.IntRange(0, 3).Draw(t, "online"); online > 0 {
-				load.Loads[fmt.Sprint("t", online)] = placement.Load{Online: online}
+				load.Loads[fmt.Sprint("t", online)] = placement.Load{Online: online, Tokens: int64(100 * online), BatchTokens: int64(online)}
 			}
 			if !known {
 				first[name] = load.Spent
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -62,9 +62,12 @@
 	// PromptParts returns the ids of the parts of a request's prompt that other
 	// requests may share, in order; nil: requests name no parts.
 	PromptParts func(*fasthttp.RequestHeader) []string
-	Log         *telemetry.Log
-	Metrics     metrics.Registry
-	Grace       time.Duration // from the shutdown signal until the process must have exited
+	// RequestTokens returns the tokens that a target may hold for a request, 0 if it
+	// names none; nil: requests name none.
+	RequestTokens func(*fasthttp.RequestHeader) int64
+	Log           *telemetry.Log
+	Metrics       metrics.Registry
+	Grace         time.Duration // from the shutdown signal until the process must have exited
 	// RefuseStaleAfter is the age of the last confirmation of the document beyond
 	// which requests are refused. If 0, the gateway keeps serving with the
 	// document it has.
@@ -91,6 +94,7 @@
 	crashes      *crashDetector
 	reporter     *crashreport.Reporter
 	bodies       bodyBudget
+	absurdSizes  absurdSizes
 }
 
 // New returns a gateway that is ready to serve.
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -55,6 +55,7 @@
 	checkedAt    time.Time       // when the caller was last known to wait
 	stopWatching func()
 	target       *roster.Record    // target that has the request; nil: none
+	timing       targetcall.Timing // of target's response
 	sentAfter    time.Duration     // from the start until the request went to its last target
 	headAfter    time.Duration     // from the start until the response header arrived
 	slot         *slot             // at target; nil: none
@@ -141,6 +142,7 @@
 		body, taken, err := f.server.bodies.read(f.response)
 		f.server.bodies.give(taken)
 		if err == nil {
+			f.timing.Plain(time.Now())
 			if f.shouldRetryStatus(f.response.Status) {
 				f.tried[f.target.ID] = true
 				f.releaseTarget()
@@ -218,6 +220,7 @@
 		}
 		if status < http.StatusMultipleChoices {
 			f.noteCompleted()
+			f.noteRun()
 		}
 	}
 	s.log.Info("request_finished", "request", f.call.id, "route", f.call.route.Name, "workspace", f.call.workspaceName(),
@@ -225,6 +228,17 @@
 		"fill", fill, "sent_ms", ms(f.sentAfter), "first_ms", ms(f.headAfter), "after_ms", ms(elapsed), "error", failure)
 }
 
+// noteRun records how fast the target was, for its next requests.
+func (f *forwarding) noteRun() {
+	if f.target == nil {
+		return
+	}
+	if run := f.timing.Report(f.target, f.slot.total); run != nil {
+		f.server.follower.Targets.ObserveRun(time.Now(), *run)
+		f.slot.run = run
+	}
+}
+
 // attempt sends the request to one target after another until one responds.
 func (f *forwarding) attempt() *outcome.Error {
 	for {
@@ -248,10 +262,12 @@
 			f.releaseTarget()
 			return failure
 		}
+		f.timing.Begin(time.Now())
 		response, err := f.server.targetClient.Do(f.ctx, f.target, f.request)
 		if err == nil {
 			f.executions++
 			f.response = response
+			f.server.slots.reportLoad(f.slot, response.Load)
 			return nil
 		}
 		var failure *targetcall.Failure
@@ -296,6 +312,8 @@
 	query := placement.Query{Service: f.service, Exclude: f.tried, Version: f.version}
 	if service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
+		query.Tokens, query.Memory = f.call.tokens, service.KVCapacity
+		s.absurdSizes.check(s.log, f.call, &query)
 	}
 	if f.version != nil && !s.follower.Targets.HasVersion(f.service, *f.version) {
 		return outcome.New(outcome.VersionGone, f.outcomeSoFar(), "no target of service %s runs version %s", f.service, *f.version).WithRetryAfter(noTargetRetryAfter)
@@ -331,6 +349,7 @@
 		IsSuspect:   f.known.isolate(),
 		Stream:      f.stream,
 		Version:     f.version,
+		Tokens:      q.Tokens,
 	}
 	return s.slots.acquire(f.ctx, request, q)
 }
--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -35,6 +35,7 @@
 	workspace *routing.Workspace // nil on public routes
 	table     *routing.Table
 	parts     []string // ids of the parts of the prompt that other requests may share
+	tokens    int64    // that a target may hold for the request; 0: unknown
 	resumes   string   // id of the attempt that brought the first event of the stream that the caller takes up again
 	isRetry   bool     // the caller has used up part of its time, so it was refused before
 }
@@ -106,6 +107,9 @@
 	if s.cfg.PromptParts != nil {
 		c.parts = s.cfg.PromptParts(&ctx.Request.Header)
 	}
+	if s.cfg.RequestTokens != nil {
+		c.tokens = s.cfg.RequestTokens(&ctx.Request.Header)
+	}
 	c.isRetry = c.deadline.Sub(c.started) < c.route.Timeout-retryMargin
 	return c, nil
 }
--- a/services/entry/slots.go
+++ b/services/entry/slots.go
@@ -41,7 +41,9 @@
 type release struct {
 	broker       uint64 // replica ID of the host that granted the slot
 	id           rpc.SlotID
-	failedTarget string // target that failed or broke the connection; empty: none
+	failedTarget string                // target that failed or broke the connection; empty: none
+	run          *placement.RunReport  // what was seen of the target; nil: nothing
+	load         *placement.LoadReport // what a target said; nil: nothing
 }
 
 // slot is capacity for one request at a target.
@@ -53,6 +55,9 @@
 	version         string           // of the target's software, as the broker knows it
 	broker          rpc.StorageState // state of the granting broker at the time of the grant
 	id              rpc.SlotID
+	tokens          int64                // that the target holds
+	expectedPace    int                  // of the target, as the broker expects it, percent; 0: unknown
+	run             *placement.RunReport // what was seen of the target; nil: nothing
 }
 
 func newSlots(f *follow.Follower, jobs *jobClient) *slots {
@@ -79,7 +84,7 @@
 		}
 		return nil, outcome.New(outcome.NoTarget, outcome.NotRun, "no target of the service takes requests").WithRetryAfter(retryAfter)
 	}
-	return &slot{target: target, needsPreemption: full, total: s.follower.Targets.TotalLoad(target.ID)}, nil
+	return &slot{target: target, needsPreemption: full, total: s.follower.Targets.TotalLoad(target.ID), tokens: q.HeldTokens()}, nil
 }
 
 // askBroker asks the broker for a slot. It returns neither a slot nor a failure
@@ -104,7 +109,7 @@
 	if outcome.IsCode(err, outcome.TargetBusy) {
 		return nil, outcome.From(err)
 	}
-	granted := &slot{brokered: true, broker: hosts[0], id: request.ID, total: grant.Total}
+	granted := &slot{brokered: true, broker: hosts[0], id: request.ID, total: grant.Total, expectedPace: grant.Pace}
 	if err != nil {
 		s.pauseBroker()
 		s.queueRelease(granted, "") // the grant may still arrive
@@ -120,6 +125,8 @@
 		s.release(granted, false)
 		return nil, nil
 	}
+	granted.tokens = q.HeldTokens()
+	s.follower.Targets.AssignTokens(granted.broker.BrokerID(), grant.Target, granted.tokens)
 	return granted, nil
 }
 
@@ -138,9 +145,11 @@
 func (s *slots) release(used *slot, failed bool) {
 	if !used.brokered {
 		s.follower.Targets.Release(used.target.ID, false)
+		s.follower.Targets.ReleaseTokens(used.target.ID, false, used.tokens)
 		return
 	}
 	s.follower.Targets.Unassign(used.broker.BrokerID(), used.target.ID)
+	s.follower.Targets.AssignTokens(used.broker.BrokerID(), used.target.ID, -used.tokens)
 	failedTarget := ""
 	if failed {
 		failedTarget = used.target.ID
@@ -152,11 +161,39 @@
 // deadline of its request.
 func (s *slots) queueRelease(used *slot, failedTarget string) {
 	select {
-	case s.releases <- release{broker: used.broker.ID, id: used.id, failedTarget: failedTarget}:
+	case s.releases <- release{broker: used.broker.ID, id: used.id, failedTarget: failedTarget, run: used.run}:
 	default:
 	}
 }
 
+// reportLoad tells the broker what a target has said of its load, if the broker expects
+// something else: its pace may change again before the slot is released.
+func (s *slots) reportLoad(used *slot, load placement.TargetLoad) {
+	if !used.brokered || !placement.PaceChanged(used.expectedPace, load.PacePercent) {
+		return
+	}
+	report := &placement.LoadReport{Target: used.target.ID, Incarnation: used.target.Incarnation, Load: load}
+	select {
+	case s.releases <- release{broker: used.broker.ID, load: report}:
+	default: // the next response tells it again
+	}
+}
+
+// addTo adds a release or a report to a message.
+func (r *release) addTo(message *rpc.SlotRelease) {
+	if r.load != nil {
+		message.Loads = append(message.Loads, *r.load)
+		return
+	}
+	message.IDs = append(message.IDs, r.id)
+	if r.failedTarget != "" {
+		message.Failed = append(message.Failed, r.failedTarget)
+	}
+	if r.run != nil {
+		message.Runs = append(message.Runs, *r.run)
+	}
+}
+
 // sendReleases sends queued releases until ctx ends.
 func (s *slots) sendReleases(ctx context.Context) {
 	for {
@@ -185,10 +222,7 @@
 			message = &rpc.SlotRelease{}
 			messages[next.broker] = message
 		}
-		message.IDs = append(message.IDs, next.id)
-		if next.failedTarget != "" {
-			message.Failed = append(message.Failed, next.failedTarget)
-		}
+		next.addTo(message)
 		select {
 		case next = <-s.releases:
 		default:
--- a/services/entry/stream.go
+++ b/services/entry/stream.go
@@ -53,7 +53,11 @@
 // next returns the next event, resuming at another target if needed.
 func (r *eventStreamReader) next() (*targetcall.Event, error) {
 	for {
+		waitedSince := time.Now()
 		event, err := r.events.Next()
+		if err == nil {
+			r.f.timing.Event(waitedSince, time.Now())
+		}
 		switch {
 		case err == nil && event.ID > 0 && event.ID <= r.lastID:
 			continue // a resuming target may repeat events already sent
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -85,6 +85,7 @@
 	lastPush               time.Time            // time of the last push of any control host
 	primary                string               // control host that is asked for the aggregate of the other processes
 	disconnected           bool
+	badLoads               badLoads
 	controlHosts           map[string]bool // wire addresses of the followed control hosts
 	addedControlHosts      chan string
 	changed                chan struct{} // closed and replaced after each change of the view
@@ -267,7 +268,7 @@
 	batch := make(map[string]placement.Load)
 	for id, load := range own {
 		if load.Batch > 0 {
-			batch[id] = placement.Load{Batch: load.Batch}
+			batch[id] = placement.Load{Batch: load.Batch, BatchTokens: load.BatchTokens}
 		}
 	}
 	return batch
--- a/services/follow/merge.go
+++ b/services/follow/merge.go
@@ -156,4 +156,5 @@
 		}
 	}
 	f.Targets.SetPeerLoads(loads, peers.Members+1)
+	f.Targets.SetGateways(peers.Gateways + 1)
 }
--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -56,7 +56,8 @@
 	service string
 	since   time.Time
 	expires time.Time
-	suspect bool // the request may crash the target
+	suspect bool  // the request may crash the target
+	tokens  int64 // that the target holds for it
 }
 
 func newBroker(s *Server, r *runner) *broker {
@@ -90,7 +91,8 @@
 		return nil, notLeader()
 	}
 	now := time.Now()
-	target, full := b.acquireTarget(now, b.query(r), r.IsSuspect)
+	query := b.query(r)
+	target, full := b.acquireTarget(now, query, r.IsSuspect)
 	if target == nil {
 		return nil, b.refuse(now, r)
 	}
@@ -98,12 +100,14 @@
 		b.runner.preempt(map[string]int{target.ID: 1})
 	}
 	expires := now.Add(time.Duration(r.RemainingMS)*time.Millisecond + grantGrace)
-	b.recordGrant(r.ID, grant{target: target.ID, service: r.Service, since: now, expires: expires, suspect: r.IsSuspect})
+	b.recordGrant(r.ID, grant{target: target.ID, service: r.Service, since: now, expires: expires, suspect: r.IsSuspect,
+		tokens: query.HeldTokens()})
 	b.granted.Inc(1)
 	if r.Stream != streams.NoKey {
 		b.server.origins.begun(streams.Group{Origin: streams.Origin{Service: r.Service, Version: target.Version}, Keys: []streams.Key{r.Stream}})
 	}
-	return &rpc.SlotGrant{Target: target.ID, Total: b.targets.TotalLoad(target.ID), Version: target.Version}, nil
+	return &rpc.SlotGrant{Target: target.ID, Total: b.targets.TotalLoad(target.ID), Version: target.Version,
+		Pace: b.targets.ExpectedPace(now, target.ID)}, nil
 }
 
 // query returns the placement of a request. Only model engines have a bounded queue.
@@ -126,6 +130,7 @@
 	}
 	if service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
+		query.Tokens, query.Memory = r.Tokens, service.KVCapacity
 	}
 	return query
 }
@@ -211,14 +216,25 @@
 	}
 	delete(b.grants, id)
 	b.targets.Release(g.target, false)
+	b.targets.ReleaseTokens(g.target, false, g.tokens)
 }
 
-// release frees slots, and records the targets that failed.
+// release frees slots, and records the targets that failed and what gateways saw of
+// others.
 func (b *broker) release(_ context.Context, r *rpc.SlotRelease) (*rpc.Ack, error) {
 	now := time.Now()
 	for _, target := range r.Failed {
 		b.targets.Failed(now, target)
 	}
+	for i := range r.Loads {
+		b.targets.ApplyLoad(now, r.Loads[i])
+	}
+	for i := range r.Runs {
+		b.targets.ObserveRun(now, r.Runs[i])
+	}
+	if len(r.IDs) == 0 {
+		return &rpc.Ack{}, nil
+	}
 	b.mu.Lock()
 	for _, id := range r.IDs {
 		if g, found := b.grants[id]; found && b.returns[g.service] != nil {
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -55,10 +55,13 @@
 	// PromptParts returns the ids of the parts of an item's prompt that other
 	// requests may share; nil: items name no parts.
 	PromptParts func([]jobs.Header) []string
-	ServerTLS   *tls.Config
-	ClientTLS   *tls.Config
-	Log         *telemetry.Log
-	Metrics     metrics.Registry
+	// ItemTokens returns the tokens that a target may hold for an item, 0 if its
+	// headers name none; nil: the item's own token count is taken.
+	ItemTokens func([]jobs.Header) int64
+	ServerTLS  *tls.Config
+	ClientTLS  *tls.Config
+	Log        *telemetry.Log
+	Metrics    metrics.Registry
 }
 
 // Server is one storage host.
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -42,6 +42,9 @@
 	startedAt      time.Time
 	cancel         context.CancelCauseFunc
 	tokens         int64
+	held           int64 // tokens that the target holds
+	fill           int   // items and requests at the target at the start, including this one
+	timing         targetcall.Timing
 	maxAttempts    int
 	startEvent     int64 // last event of the item before this run
 	loggedFailures int   // failed attempts that the replicated log holds
@@ -69,6 +72,9 @@
 		i.completed = true
 		r.trials.completed(i.parts)
 		r.follower.Targets.Succeeded(i.target.ID)
+		if run := i.timing.Report(i.target, i.fill); run != nil {
+			r.follower.Targets.ObserveRun(time.Now(), *run)
+		}
 		r.results.addFinished(jobs.Finished{ItemRef: i.ref, State: jobs.Completed, Text: i.progress.fullText()})
 		r.finishRun(i, false)
 	case errors.Is(cause, errTargetSilent):
@@ -118,6 +124,7 @@
 func (i *itemRun) readResponse(ctx context.Context) (status int, err error) {
 	silenceTimer := time.AfterFunc(silenceTimeout, func() { i.cancel(errTargetSilent) })
 	defer silenceTimer.Stop()
+	i.timing.Begin(time.Now())
 	response, err := i.runner.targetClient.Do(ctx, i.target, i.request)
 	if err != nil {
 		var failure *targetcall.Failure
@@ -134,6 +141,7 @@
 	events := targetcall.NewEventReader(response)
 	origin := streams.Origin{Service: i.target.Service, Version: i.target.Version}
 	for {
+		waitedSince := time.Now()
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			return response.Status, nil
@@ -142,6 +150,7 @@
 			return 0, err
 		}
 		silenceTimer.Reset(silenceTimeout)
+		i.timing.Event(waitedSince, time.Now())
 		if err := i.progress.appendEvent(event, origin); err != nil {
 			return 0, err
 		}
--- a/services/jobhost/runner.go
+++ b/services/jobhost/runner.go
@@ -213,6 +213,7 @@
 	}
 	r.mu.Unlock()
 	r.follower.Targets.Release(finished.target.ID, true)
+	r.follower.Targets.ReleaseTokens(finished.target.ID, true, finished.held)
 	r.wakeUp()
 }
 
--- a/services/jobhost/schedule.go
+++ b/services/jobhost/schedule.go
@@ -78,17 +78,18 @@
 		return
 	}
 	serviceName := route.Pick(0)
-	if pass.fullServices[serviceName] {
+	query := placement.Query{Service: serviceName, Batch: true, Spare: spareSlots}
+	if service := table.Service(serviceName); service != nil {
+		query.WarmupPerSecond = service.WarmupPerSecond
+		query.Tokens, query.Memory = r.heldTokens(spec), service.KVCapacity
+	}
+	if smallest, full := pass.fullServices[serviceName]; full && query.HeldTokens() >= smallest {
 		return
 	}
 	parts := r.trials.partsOf(job.Workspace, spec.Headers)
 	if !r.trials.mayRun(now, parts) {
 		return
 	}
-	query := placement.Query{Service: serviceName, Batch: true, Spare: spareSlots}
-	if service := table.Service(serviceName); service != nil {
-		query.WarmupPerSecond = service.WarmupPerSecond
-	}
 	itemProgress := r.progressOf(ref, item.partial)
 	if !r.bindVersion(now, ref, itemProgress, &query, pass) {
 		return
@@ -103,33 +104,45 @@
 	delete(r.paused, ref)
 	runCtx, cancel := context.WithCancelCause(ctx)
 	started := &itemRun{runner: r, ref: ref, target: target, parts: parts, progress: itemProgress, startedAt: now, cancel: cancel,
-		request: r.targetRequest(job, spec, deadline), tokens: spec.Tokens, maxAttempts: job.MaxAttempts, loggedFailures: item.failures}
+		request: r.targetRequest(job, spec, deadline), tokens: spec.Tokens, held: query.HeldTokens(),
+		fill: r.follower.Targets.TotalLoad(target.ID), maxAttempts: job.MaxAttempts, loggedFailures: item.failures}
 	r.running[ref] = started
 	r.mu.Unlock()
 	r.started.Inc(1)
 	r.wg.Go(func() { started.execute(runCtx) })
 }
 
+// heldTokens returns the tokens that a target may hold for an item.
+func (r *runner) heldTokens(item *jobs.Item) int64 {
+	if r.server.cfg.ItemTokens == nil {
+		return item.Tokens
+	}
+	if tokens := r.server.cfg.ItemTokens(item.Headers); tokens > 0 {
+		return tokens
+	}
+	return item.Tokens
+}
+
 // schedulePass holds what one pass over the runnable items has found out, so that the
 // next ones need not look again.
 type schedulePass struct {
-	fullServices map[string]bool         // without a spare slot at any target
-	fullVersions map[streams.Origin]bool // without one at the targets of a version
-	present      map[streams.Origin]bool // whether a target of the version takes requests
-	targets      map[string]bool         // whether any target of the service does
+	fullServices map[string]int64         // without a place at any target for items that hold this many tokens, or more
+	fullVersions map[streams.Origin]int64 // without one at the targets of a version
+	present      map[streams.Origin]bool  // whether a target of the version takes requests
+	targets      map[string]bool          // whether any target of the service does
 }
 
 func newSchedulePass() *schedulePass {
-	return &schedulePass{fullServices: make(map[string]bool), fullVersions: make(map[streams.Origin]bool),
+	return &schedulePass{fullServices: make(map[string]int64), fullVersions: make(map[streams.Origin]int64),
 		present: make(map[streams.Origin]bool), targets: make(map[string]bool)}
 }
 
 func (p *schedulePass) setFull(q *placement.Query) {
 	if q.Version == nil {
-		p.fullServices[q.Service] = true
+		p.fullServices[q.Service] = q.HeldTokens()
 		return
 	}
-	p.fullVersions[streams.Origin{Service: q.Service, Version: *q.Version}] = true
+	p.fullVersions[streams.Origin{Service: q.Service, Version: *q.Version}] = q.HeldTokens()
 }
 
 func (p *schedulePass) isPresent(targets *placement.Targets, origin streams.Origin) bool {
@@ -174,7 +187,7 @@
 	if !begun {
 		return true
 	}
-	if pass.fullVersions[origin] {
+	if smallest, full := pass.fullVersions[origin]; full && query.HeldTokens() >= smallest {
 		return false
 	}
 	present := origin.Service == query.Service && pass.isPresent(r.follower.Targets, origin)
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/placement"
 	"banyanwalk/core/roster"
 	"banyanwalk/infra/targetconn"
 )
@@ -65,7 +66,8 @@
 type Response struct {
 	Status       int
 	Header       http.Header
-	Reused       bool // it came over a connection that had served earlier requests
+	Load         placement.TargetLoad // that the target named; zero: none
+	Reused       bool                 // it came over a connection that had served earlier requests
 	body         io.ReadCloser
 	conn         *targetconn.Conn
 	pool         *targetconn.Pool
@@ -81,6 +83,7 @@
 type Client struct {
 	headers        HeaderNames
 	limits         LimitObserver
+	loads          LoadObserver
 	connsOpened    metrics.Counter
 	strayResponses metrics.Counter
 
@@ -95,10 +98,11 @@
 }
 
 // NewClient returns a client without open connections.
-func NewClient(headers HeaderNames, limits LimitObserver, registry metrics.Registry) *Client {
+func NewClient(headers HeaderNames, observer Observer, registry metrics.Registry) *Client {
 	return &Client{
 		headers:        headers,
-		limits:         limits,
+		limits:         observer,
+		loads:          observer,
 		connsOpened:    metrics.GetOrRegisterCounter("targets.connections.opened", registry),
 		strayResponses: metrics.GetOrRegisterCounter("targets.answers.stray", registry),
 		pools:          make(map[string]*targetPool),
@@ -153,6 +157,7 @@
 		return nil, err
 	}
 	c.observeLimit(target, resp)
+	c.observeLoad(target, resp)
 	if err := c.checkResponse(r, resp); err != nil {
 		resp.drain()
 		resp.Close()
