Log learned speeds; replay only the paces that gateways report

Operators need to see which target is slow and why. The broker logs when a service begins to be chosen by speed and when the learned speed of a target changes by a quarter. Counters tell how much gateways report.

--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -40,6 +40,7 @@
 	last     int     // time of the last event
 	gap      int     // longest between two events
 	fill     int     // at the target when it was chosen
+	pace     int     // that was expected of it, percent
 	finished int
 }
 
@@ -69,7 +70,7 @@
 
 // chooser is a way to place requests.
 type chooser interface {
-	choose(now time.Time) (id string, fill int)
+	choose(now time.Time) (id string, fill, pace int)
 	header(now time.Time, e *roster.Record, load TargetLoad)
 	finished(now time.Time, run *replayRun, record *roster.Record)
 }
@@ -86,11 +87,12 @@
 type replayResult struct {
 	p50, p99, firstP99, inTime float64
 	refused, requests          int
+	reports                    int // of load
 	atLiar                     int // requests at the target that lies
 }
 
 func (r replayResult) String() string {
-	return fmt.Sprintf("p50 %4.0f  p99 %5.0f  first p99 %4.0f  in time %.4f  refused %d of %d", r.p50, r.p99, r.firstP99, r.inTime, r.refused, r.requests)
+	return fmt.Sprintf("p50 %4.0f  p99 %5.0f  first p99 %4.0f  in time %.4f  refused %d of %d  reports %d", r.p50, r.p99, r.firstP99, r.inTime, r.refused, r.requests, r.reports)
 }
 
 func replayRecords() []*roster.Record {
@@ -136,7 +138,7 @@
 			}
 			nextArrival += rng.ExpFloat64() * 1000 / rate
 			work := 15 + 5*rng.Float64()
-			id, fill := c.choose(at(now))
+			id, fill, pace := c.choose(at(now))
 			if now >= int(replayWarmup/time.Millisecond) {
 				result.requests++
 				if id == "" {
@@ -145,7 +147,7 @@
 			}
 			if id != "" {
 				e := engines[id]
-				e.waiting = append(e.waiting, &replayRun{id: id, at: now, work: work, fill: fill})
+				e.waiting = append(e.waiting, &replayRun{id: id, at: now, work: work, fill: fill, pace: pace})
 			}
 		}
 		for _, e := range order {
@@ -178,7 +180,10 @@
 					if s.liar == run.id {
 						load = s.lie(rng)
 					}
-					pending = append(pending, delayed{now + observeDelayMS, func(t time.Time) { c.header(t, e.record, load) }})
+					if PaceChanged(run.pace, load.PacePercent) {
+						result.reports++
+						pending = append(pending, delayed{now + observeDelayMS, func(t time.Time) { c.header(t, e.record, load) }})
+					}
 				} else {
 					run.gap = max(run.gap, now-run.last)
 				}
@@ -227,12 +232,12 @@
 	learns  bool
 }
 
-func (c *byTargets) choose(now time.Time) (string, int) {
+func (c *byTargets) choose(now time.Time) (id string, fill, pace int) {
 	r, _ := c.targets.Acquire(now, Query{Service: "llm", MaxQueue: 2})
 	if r == nil {
-		return "", 0
+		return "", 0, 0
 	}
-	return r.ID, c.targets.TotalLoad(r.ID)
+	return r.ID, c.targets.TotalLoad(r.ID), c.targets.ExpectedPace(now, r.ID)
 }
 
 func (c *byTargets) header(now time.Time, r *roster.Record, load TargetLoad) {
@@ -276,8 +281,8 @@
 	return c
 }
 
-func (c *byCost) choose(now time.Time) (string, int) {
-	best, least := "", math.Inf(1)
+func (c *byCost) choose(now time.Time) (best string, fill, pace int) {
+	least := math.Inf(1)
 	for _, id := range c.ids {
 		if c.inFlight[id] >= replaySlots+2 {
 			continue
@@ -289,7 +294,7 @@
 	if best != "" {
 		c.inFlight[best]++
 	}
-	return best, c.inFlight[best]
+	return best, c.inFlight[best], 0
 }
 
 func (c *byCost) header(time.Time, *roster.Record, TargetLoad) {}
--- a/core/placement/speed.go
+++ b/core/placement/speed.go
@@ -61,7 +61,9 @@
 	recent      float64 // time per unit of the newest runs, relative to unit
 	recentAt    time.Time
 	limit       concurrencyLimit
-	namedSlots  int // that the target named; 0: none
+	namedSlots  int       // that the target named; 0: none
+	reported    float64   // logarithm of the relative time that SpeedChanges last returned
+	reportedAt  time.Time // when it did
 }
 
 // serviceSpeed tells whether the targets of a service are chosen by their speed.
@@ -71,6 +73,7 @@
 	checkedAt time.Time
 	meanUnit  float64 // of their learned speeds
 	streams   bool    // it serves streams, so that plain responses tell nothing
+	reported  bool    // what SpeedChanges last returned
 }
 
 // speedOf returns what is known of a target's current process, and creates it if there
--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -44,6 +44,8 @@
 	id      atomic.Uint64 // id of this broker, one per term; 0: this host does not lead
 	granted metrics.Counter
 	refused metrics.Counter
+	runs    metrics.Counter // reported by gateways
+	loads   metrics.Counter
 
 	mu        sync.Mutex
 	grants    map[rpc.SlotID]grant
@@ -67,6 +69,8 @@
 		runner:  r,
 		granted: metrics.GetOrRegisterCounter("broker.slots.granted", s.cfg.Metrics),
 		refused: metrics.GetOrRegisterCounter("broker.slots.refused", s.cfg.Metrics),
+		runs:    metrics.GetOrRegisterCounter("broker.runs.reported", s.cfg.Metrics),
+		loads:   metrics.GetOrRegisterCounter("broker.loads.reported", s.cfg.Metrics),
 		grants:  make(map[rpc.SlotID]grant),
 		returns: make(map[string]*placement.Returns),
 	}
@@ -196,6 +200,20 @@
 	if now.Sub(b.lastSweep) >= sweepInterval {
 		b.lastSweep = now
 		b.dropExpired(now)
+		b.logSpeeds(now)
+	}
+}
+
+// logSpeeds logs what the broker has learned of targets that differ.
+func (b *broker) logSpeeds(now time.Time) {
+	targets, services := b.targets.SpeedChanges(now)
+	for service, bySpeed := range services {
+		b.server.log.Info("service_chosen_by_speed", "service", service, "by_speed", bySpeed)
+	}
+	for i := range targets {
+		c := &targets[i]
+		b.server.log.Info("target_speed", "target", c.Target, "service", c.Service, "time_percent", c.TimePercent, "pace_percent", c.PacePercent,
+			"limit", c.Limit, "slots", c.Slots, "runs", c.Runs)
 	}
 }
 
@@ -232,6 +250,8 @@
 	for i := range r.Runs {
 		b.targets.ObserveRun(now, r.Runs[i])
 	}
+	b.loads.Inc(int64(len(r.Loads)))
+	b.runs.Inc(int64(len(r.Runs)))
 	if len(r.IDs) == 0 {
 		return &rpc.Ack{}, nil
 	}
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -86,6 +86,7 @@
 	loads          LoadObserver
 	connsOpened    metrics.Counter
 	strayResponses metrics.Counter
+	malformedLoads metrics.Counter
 
 	mu    sync.Mutex
 	pools map[string]*targetPool // by id, process start time and address
@@ -105,6 +106,7 @@
 		loads:          observer,
 		connsOpened:    metrics.GetOrRegisterCounter("targets.connections.opened", registry),
 		strayResponses: metrics.GetOrRegisterCounter("targets.answers.stray", registry),
+		malformedLoads: metrics.GetOrRegisterCounter("targets.loads.malformed", registry),
 		pools:          make(map[string]*targetPool),
 	}
 }
--- a/services/targetcall/load.go
+++ b/services/targetcall/load.go
@@ -34,6 +34,7 @@
 	}
 	load, ok := parseLoad(value)
 	if !ok {
+		c.malformedLoads.Inc(1)
 		c.loads.ObserveMalformedLoad(time.Now(), target, value)
 		return
 	}
--- a/services/targetcall/load_test.go
+++ b/services/targetcall/load_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -54,7 +55,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var observed observedLoads
-			c := &Client{headers: HeaderNames{Signature: "X-Signature", NotRun: "X-Not-Run", Load: "X-Load"}, loads: &observed}
+			c := &Client{headers: HeaderNames{Signature: "X-Signature", NotRun: "X-Not-Run", Load: "X-Load"}, loads: &observed, malformedLoads: metrics.NewCounter()}
 			header := make(http.Header)
 			for key, value := range test.header {
 				header.Set(key, value)
