Learn speeds by the pace that the response itself named

Gateways report only unexpected paces, so a mean over the reported ones was too slow, and speeds learned with it were wrong after a change. A report of a run now carries the pace of its response, and the mean is that of runs. A target counts as not asked only after 2 s.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -78,10 +78,7 @@
 	}
 	bySpeed := t.choosesBySpeed(now, q.Service)
 	for _, r := range t.services[q.Service] {
-		if q.Exclude[r.ID] || t.outOfService(r.DataCentre) || !t.underWarmupLimit(now, r, q) || !t.underRateLimit(now, r, q.Batch) {
-			continue
-		}
-		if !t.hasMemory(now, r, &q) {
+		if q.Exclude[r.ID] || t.outOfService(r.DataCentre) || !t.underLimits(now, r, &q) {
 			continue
 		}
 		if q.Version != nil && r.Version != *q.Version {
@@ -90,10 +87,7 @@
 		if !includeFailed && t.inBackoff(now, r.ID) {
 			continue
 		}
-		cost := t.utilization(r)
-		if bySpeed {
-			cost = t.completionCost(now, r)
-		}
+		cost := t.cost(now, r, bySpeed)
 		if q.Batch && t.total(r.ID)+t.reserved(now, r.ID)+spareAt(r, q.Spare) >= slotsOf(r) {
 			continue
 		}
@@ -110,6 +104,20 @@
 	return best
 }
 
+// underLimits reports whether a target's warmup, the rate that it has named and its
+// memory allow a request.
+func (t *Targets) underLimits(now time.Time, r *roster.Record, q *Query) bool {
+	return t.underWarmupLimit(now, r, *q) && t.underRateLimit(now, r, q.Batch) && t.hasMemory(now, r, q)
+}
+
+// cost returns the value by which targets are compared; the lowest is the best.
+func (t *Targets) cost(now time.Time, r *roster.Record, bySpeed bool) float64 {
+	if bySpeed {
+		return t.completionCost(now, r)
+	}
+	return t.utilization(r)
+}
+
 // utilization is the share of a target's slots in use. Once all are in use, it
 // is one plus the share of online requests only, since batch items are preempted
 // for an online request.
--- a/core/placement/completion.go
+++ b/core/placement/completion.go
@@ -46,7 +46,7 @@
 	if s.learned {
 		relative *= math.Exp(s.unit - t.differs(r.Service).meanUnit)
 	}
-	return relative * math.Exp(-float64(max(0, now.Sub(s.askedAt)))/float64(speedMemory))
+	return relative * math.Exp(-float64(max(0, now.Sub(s.askedAt)-idleAfter))/float64(speedMemory))
 }
 
 // limitOfSlots returns the concurrency limit of a target. The caller holds the lock.
--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -38,6 +39,7 @@
 	events   int     // so far
 	first    int     // time of the first event, ms; 0: none yet
 	last     int     // time of the last event
+	said     int     // pace that the response named, percent
 	gap      int     // longest between two events
 	fill     int     // at the target when it was chosen
 	pace     int     // that was expected of it, percent
@@ -80,6 +82,7 @@
 	mean     float64 // requests a second
 	knees    bool    // a third of the engines slow down above 3 requests
 	withPace bool    // targets name their pace
+	from, to int     // ms; requests that arrive then count; 0: those after the warm-up
 	liar     string  // target that lies about its load; empty: none
 	lie      func(rng *rand.Rand) TargetLoad
 }
@@ -121,6 +124,9 @@
 		engines[r.ID] = e
 		order = append(order, e)
 	}
+	if s.to == 0 {
+		s.from, s.to = int(replayWarmup/time.Millisecond), int(replayDuration/time.Millisecond)
+	}
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	var pending []delayed
 	var done []*replayRun
@@ -139,7 +145,7 @@
 			nextArrival += rng.ExpFloat64() * 1000 / rate
 			work := 15 + 5*rng.Float64()
 			id, fill, pace := c.choose(at(now))
-			if now >= int(replayWarmup/time.Millisecond) {
+			if now >= s.from && now < s.to {
 				result.requests++
 				if id == "" {
 					result.refused++
@@ -180,6 +186,7 @@
 					if s.liar == run.id {
 						load = s.lie(rng)
 					}
+					run.said = load.PacePercent
 					if PaceChanged(run.pace, load.PacePercent) {
 						result.reports++
 						pending = append(pending, delayed{now + observeDelayMS, func(t time.Time) { c.header(t, e.record, load) }})
@@ -193,7 +200,7 @@
 					continue
 				}
 				run.finished = now
-				if run.at >= int(replayWarmup/time.Millisecond) {
+				if run.at >= s.from && run.at < s.to {
 					done = append(done, run)
 				}
 				pending = append(pending, delayed{now + observeDelayMS, func(t time.Time) { c.finished(t, run, e.record) }})
@@ -250,7 +257,7 @@
 	c.targets.Release(run.id, false)
 	if c.learns {
 		c.targets.ObserveRun(now, RunReport{Target: r.ID, Incarnation: r.Incarnation, Fill: run.fill, FirstMS: int64(run.first - run.at),
-			EventUS: int64(run.last-run.first) * 1000 / (replayEvents - 1), RanMS: int64(run.last - run.at)})
+			EventUS: int64(run.last-run.first) * 1000 / (replayEvents - 1), RanMS: int64(run.last - run.at), PacePercent: run.said})
 	}
 }
 
@@ -260,6 +267,52 @@
 	return &byTargets{targets: targets, learns: learns}
 }
 
+// newBroker is byTargets whose broker is replaced by one that has learned nothing, and
+// that is told the requests of its predecessor 300 ms later.
+type newBroker struct {
+	byTargets
+	replacedAt time.Time
+	replaced   bool
+	former     map[string]Load
+	toldAt     time.Time
+}
+
+func (c *newBroker) choose(now time.Time) (id string, fill, pace int) {
+	if !c.replaced && !now.Before(c.replacedAt) {
+		c.replaced, c.toldAt = true, now.Add(300*time.Millisecond)
+		c.former = c.targets.OwnLoads(0)
+		c.targets = newByTargets(true).targets
+		c.targets.DrainLimits(now)
+	}
+	if c.replaced && !now.Before(c.toldAt) {
+		c.toldAt = now.Add(100 * time.Millisecond)
+		c.targets.SetPeerLoads(maps.Clone(c.former), 1)
+	}
+	return c.byTargets.choose(now)
+}
+
+func (c *newBroker) finished(now time.Time, run *replayRun, r *roster.Record) {
+	if c.replaced && start.Add(time.Duration(run.at)*time.Millisecond).Before(c.replacedAt) {
+		c.former[run.id] = Load{Online: c.former[run.id].Online - 1}
+		return
+	}
+	c.byTargets.finished(now, run, r)
+}
+
+// TestNewBrokerLearnsWithinASecond guards against a broker that places badly for long
+// after it has taken over, at the peak of the load.
+func TestNewBrokerLearnsWithinASecond(t *testing.T) {
+	const replacedMS = 20_000
+	s := replayScenario{mean: 200, withPace: true, from: replacedMS + 1000, to: replacedMS + 3000}
+	kept := replay(s, newByTargets(true), replayRecords(), 5)
+	changed := replay(s, &newBroker{byTargets: *newByTargets(true), replacedAt: start.Add(replacedMS * time.Millisecond)}, replayRecords(), 5)
+	t.Log("kept   ", kept)
+	t.Log("changed", changed)
+	assert.LessOrEqual(t, changed.p50, 1.1*kept.p50)
+	assert.LessOrEqual(t, changed.p99, 1.1*kept.p99)
+	assert.GreaterOrEqual(t, changed.inTime, kept.inTime-0.005)
+}
+
 // byCost is an alternative that was weighed: the lowest cost among targets with a place.
 type byCost struct {
 	ids      []string
@@ -267,7 +320,6 @@
 	average  map[string]float64 // of the duration, ms
 	limit    map[string]float64
 	at       map[string]time.Time
-	seed     float64
 	cost     func(c *byCost, now time.Time, id string) float64
 	observe  func(c *byCost, now time.Time, run *replayRun)
 }
--- a/core/placement/speed.go
+++ b/core/placement/speed.go
@@ -14,8 +14,9 @@
 	// maxSpeedStep bounds how far one run may differ from the average, as a factor.
 	maxSpeedStep = 4
 	// speedMemory is the time constant with which the expected completion at a target
-	// falls that is given no requests.
+	// falls that has been given no requests for idleAfter.
 	speedMemory = 5 * time.Second
+	idleAfter   = 2 * time.Second
 	// busyRunsAfter is how long the speed is learned only from runs at a target that
 	// is at most half full, since targets may slow down with their load.
 	busyRunsAfter = time.Second
@@ -44,6 +45,7 @@
 	FirstMS     int64  `msgpack:"s,omitempty"` // milliseconds from the sending to the first event or the header
 	EventUS     int64  `msgpack:"e,omitempty"` // mean microseconds between two events; 0: a plain response
 	RanMS       int64  `msgpack:"d,omitempty"` // milliseconds from the sending to the end
+	PacePercent int    `msgpack:"p,omitempty"` // that the response named; 0: none
 }
 
 // speed is what is known of how fast one process of a target works.
@@ -57,7 +59,7 @@
 	askedAt     time.Time // when a request was last placed here, or the first thing was learned
 	pace        float64   // that the target named last; 0: none
 	paceAt      time.Time
-	meanPace    float64 // moving average of the named pace
+	meanPace    float64 // moving average of the pace that responses to runs have named; starts with the first reading
 	recent      float64 // time per unit of the newest runs, relative to unit
 	recentAt    time.Time
 	limit       concurrencyLimit
@@ -119,15 +121,16 @@
 	}
 	s := t.speedOf(now, r)
 	pace := 1.0
-	if s.pace > 0 {
-		pace = s.meanPace
+	if run.PacePercent > 0 {
+		pace = believedPace(run.PacePercent)
+		s.meanPace += meanPaceWeight * (pace - s.meanPace)
 	}
 	unit := math.Log(took / pace)
 	if !s.learned {
 		s.learned, s.unit, s.unitAt, s.recentAt = true, unit, now, now
 	}
 	step := min(math.Log(maxSpeedStep), max(-math.Log(maxSpeedStep), unit-s.unit))
-	slow := math.Exp(step) * pace / s.paceDuring(now, run.RanMS)
+	slow := math.Exp(step) * pace / max(pace, s.paceDuring(now, run.RanMS))
 	s.observeRecent(now, math.Exp(step))
 	if d.streams && run.Fill <= slotsOf(r) {
 		slow = max(slow, s.observeFirst(run.FirstMS)/firstTolerance)
--- a/core/placement/targetload.go
+++ b/core/placement/targetload.go
@@ -13,7 +13,7 @@
 	// paceMemory is the time constant with which a reading loses its weight. Slow
 	// periods last about 600 ms.
 	paceMemory = 400 * time.Millisecond
-	// meanPaceWeight is the weight of one reading in the mean pace.
+	// meanPaceWeight is the weight of one run in the mean pace.
 	meanPaceWeight = 0.05
 	// paceRetention is how long a service counts as one whose targets name their pace.
 	paceRetention = time.Minute
@@ -79,7 +79,7 @@
 	if load.PacePercent <= 0 || !readAt.After(s.paceAt) {
 		return
 	}
-	s.takePace(readAt, min(maxPace, max(minPace, float64(load.PacePercent)/percent)))
+	s.takePace(readAt, believedPace(load.PacePercent))
 	t.differs(r.Service).pacedAt = now
 }
 
@@ -99,10 +99,14 @@
 	if s.pace == 0 {
 		s.meanPace = pace
 	}
-	s.meanPace += meanPaceWeight * (pace - s.meanPace)
 	s.pace, s.paceAt = pace, readAt
 }
 
+// believedPace returns a pace in percent as a factor within its bounds.
+func believedPace(inPercent int) float64 {
+	return min(maxPace, max(minPace, float64(inPercent)/percent))
+}
+
 // paceNow returns the expected pace: the last one that the target named, and with its
 // age more and more the mean of those before. Where none was named, it is what the
 // newest runs showed.
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -230,10 +230,10 @@
 
 // noteRun records how fast the target was, for its next requests.
 func (f *forwarding) noteRun() {
-	if f.target == nil {
+	if f.target == nil || f.response == nil {
 		return
 	}
-	if run := f.timing.Report(f.target, f.slot.total); run != nil {
+	if run := f.timing.Report(f.target, f.slot.total, f.response.Load.PacePercent); run != nil {
 		f.server.follower.Targets.ObserveRun(time.Now(), *run)
 		f.slot.run = run
 	}
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -45,6 +45,7 @@
 	held           int64 // tokens that the target holds
 	fill           int   // items and requests at the target at the start, including this one
 	timing         targetcall.Timing
+	pacePercent    int // that the target named in its response; 0: none
 	maxAttempts    int
 	startEvent     int64 // last event of the item before this run
 	loggedFailures int   // failed attempts that the replicated log holds
@@ -72,7 +73,7 @@
 		i.completed = true
 		r.trials.completed(i.parts)
 		r.follower.Targets.Succeeded(i.target.ID)
-		if run := i.timing.Report(i.target, i.fill); run != nil {
+		if run := i.timing.Report(i.target, i.fill, i.pacePercent); run != nil {
 			r.follower.Targets.ObserveRun(time.Now(), *run)
 		}
 		r.results.addFinished(jobs.Finished{ItemRef: i.ref, State: jobs.Completed, Text: i.progress.fullText()})
@@ -134,6 +135,7 @@
 		return status, err
 	}
 	defer response.Close()
+	i.pacePercent = response.Load.PacePercent
 	if response.Status != http.StatusOK {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response, maxErrorBytes)) // only the status counts
 		return response.Status, errors.Newf("status %d", response.Status)
--- a/services/targetcall/load_test.go
+++ b/services/targetcall/load_test.go
@@ -73,20 +73,20 @@
 	target := &roster.Record{Report: roster.Report{ID: "t", Incarnation: 7}}
 	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
 	var timing Timing
-	assert.Nil(t, timing.Report(target, 1), "nothing was sent")
+	assert.Nil(t, timing.Report(target, 1, 0), "nothing was sent")
 	timing.Begin(at(0))
 	for n := range 11 {
 		timing.Event(at(n*20), at(20+n*20))
 	}
-	run := timing.Report(target, 3)
+	run := timing.Report(target, 3, 250)
 	require.NotNil(t, run)
-	assert.Equal(t, placement.RunReport{Target: "t", Incarnation: 7, Fill: 3, FirstMS: 20, EventUS: 20_000, RanMS: 220}, *run)
+	assert.Equal(t, placement.RunReport{Target: "t", Incarnation: 7, Fill: 3, FirstMS: 20, EventUS: 20_000, RanMS: 220, PacePercent: 250}, *run)
 	timing.Begin(at(0))
 	for n := range 11 { // each event is there at once, but the caller takes 100 ms for it
 		timing.Event(at(n*100+19), at(20+n*100))
 	}
-	assert.Nil(t, timing.Report(target, 3))
+	assert.Nil(t, timing.Report(target, 3, 250))
 	timing.Begin(at(0))
 	timing.Plain(at(120))
-	assert.Equal(t, int64(120), timing.Report(target, 1).FirstMS)
+	assert.Equal(t, int64(120), timing.Report(target, 1, 0).FirstMS)
 }
--- a/services/targetcall/timing.go
+++ b/services/targetcall/timing.go
@@ -40,14 +40,14 @@
 // Plain records that a plain response has arrived.
 func (t *Timing) Plain(now time.Time) { t.first, t.last = now, now }
 
-// Report returns what was seen of a target that had fill requests, or nil if that tells
-// nothing of its speed.
-func (t *Timing) Report(target *roster.Record, fill int) *placement.RunReport {
+// Report returns what was seen of a target that had fill requests and named a pace (0:
+// none), or nil if that tells nothing of its speed.
+func (t *Timing) Report(target *roster.Record, fill, pacePercent int) *placement.RunReport {
 	if t.sent.IsZero() || t.first.IsZero() {
 		return nil
 	}
 	run := &placement.RunReport{Target: target.ID, Incarnation: target.Incarnation, Fill: fill,
-		FirstMS: t.first.Sub(t.sent).Milliseconds(), RanMS: t.last.Sub(t.sent).Milliseconds()}
+		FirstMS: t.first.Sub(t.sent).Milliseconds(), RanMS: t.last.Sub(t.sent).Milliseconds(), PacePercent: pacePercent}
 	if t.events == 0 {
 		return run
 	}
