Report the pace that a refusal names

A target that refuses a request names its load too, but the broker learned of it only from responses that were passed on. A failure now carries the load, and the gateway reports an unexpected pace from it as well.

--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -274,6 +274,7 @@
 		if !errors.As(err, &failure) {
 			failure = &targetcall.Failure{Outcome: outcome.MayHaveRun, Reason: err.Error()}
 		}
+		f.server.slots.reportLoad(f.slot, failure.Load)
 		if failure.Outcome == outcome.NotRun {
 			f.refusals++
 		} else {
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -47,9 +47,10 @@
 // Failure describes why a target gave no response that may be passed on.
 type Failure struct {
 	Outcome outcome.Outcome
-	Status  int    // of the response; 0: there is none
-	Reason  string // for logs
-	Closed  bool   // the target closed or reset the connection, as it does when its process ends
+	Status  int                  // of the response; 0: there is none
+	Reason  string               // for logs
+	Closed  bool                 // the target closed or reset the connection, as it does when its process ends
+	Load    placement.TargetLoad // that the response named; zero: none
 }
 
 // Error returns the reason, the status and the outcome.
@@ -161,6 +162,7 @@
 	c.observeLimit(target, resp)
 	c.observeLoad(target, resp)
 	if err := c.checkResponse(r, resp); err != nil {
+		err.Load = resp.Load
 		resp.drain()
 		resp.Close()
 		return nil, err
@@ -221,7 +223,7 @@
 // checkResponse returns the failure for a response that says that the request did
 // not run, lacks a target's signature, or is encoded though the caller did not ask
 // for it.
-func (c *Client) checkResponse(r *Request, resp *Response) error {
+func (c *Client) checkResponse(r *Request, resp *Response) *Failure {
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
 		return &Failure{Outcome: outcome.NotRun, Status: resp.Status, Reason: "another target serves this address"}
