--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -16,6 +16,8 @@
 	Batch           bool
 	Spare           int             // slots of a target that a batch item must leave free
 	Exclude         map[string]bool // ids of targets already tried
+	Tokens          int64           // that the target holds for the request; 0: unknown
+	Memory          int64           // tokens that a target can hold; 0: unknown
 	Version         *string         // that the target's software must have; nil: any
 	// Rollout limits the versions to those that may get requests; nil: any may.
 	Rollout *rollout.ServiceGate
@@ -36,7 +38,11 @@
 	}
 	full = t.total(best.ID) >= slotsOf(best) && t.ownLoads[best.ID].Batch+t.peerLoads[best.ID].Batch > 0
 	t.addOwn(best.ID, q.Batch, 1)
+	t.addTokens(best.ID, q.Batch, q.HeldTokens())
 	t.useColdAllowance(now, best)
+	if s := t.speeds[best.ID]; s != nil {
+		s.askedAt = now
+	}
 	t.useRateLimit(best)
 	return best, full
 }
@@ -63,7 +69,8 @@
 	return len(expiries)
 }
 
-// best returns the target with the lowest utilization. If includeFailed is true,
+// best returns the target with the lowest utilization, or with the lowest expected
+// completion where the targets of a service differ. If includeFailed is true,
 // targets in backoff after a failure are considered too.
 func (t *Targets) best(now time.Time, q Query, includeFailed bool) *roster.Record {
 	var best *roster.Record
@@ -72,8 +79,9 @@
 	if preferred == "" {
 		preferred = t.dataCentre
 	}
+	bySpeed := t.choosesBySpeed(now, q.Service)
 	for _, r := range t.services[q.Service] {
-		if q.Exclude[r.ID] || t.outOfService(r.DataCentre) || !t.underWarmupLimit(now, r, q) || !t.underRateLimit(now, r, q.Batch) {
+		if q.Exclude[r.ID] || t.outOfService(r.DataCentre) || !t.underLimits(now, r, &q) {
 			continue
 		}
 		if !q.takesVersion(r) {
@@ -82,7 +90,7 @@
 		if !includeFailed && t.inBackoff(now, r.ID) {
 			continue
 		}
-		utilization := t.utilization(r)
+		cost := t.cost(now, r, bySpeed)
 		if q.Batch && t.total(r.ID)+t.reserved(now, r.ID)+spareAt(r, q.Spare) >= slotsOf(r) {
 			continue
 		}
@@ -90,15 +98,29 @@
 			continue
 		}
 		if r.DataCentre != preferred {
-			utilization += remotePenalty
+			cost += remotePenalty
 		}
-		if best == nil || utilization < least {
-			best, least = r, utilization
+		if best == nil || cost < least {
+			best, least = r, cost
 		}
 	}
 	return best
 }
 
+// underLimits reports whether a target's warmup, the rate that it has named and its
+// memory allow a request.
+func (t *Targets) underLimits(now time.Time, r *roster.Record, q *Query) bool {
+	return t.underWarmupLimit(now, r, *q) && t.underRateLimit(now, r, q.Batch) && t.hasMemory(now, r, q)
+}
+
+// cost returns the value by which targets are compared; the lowest is the best.
+func (t *Targets) cost(now time.Time, r *roster.Record, bySpeed bool) float64 {
+	if bySpeed {
+		return t.completionCost(now, r)
+	}
+	return t.utilization(r)
+}
+
 // utilization is the share of a target's slots in use. Once all are in use, it
 // is one plus the share of online requests only, since batch items are preempted
 // for an online request.
--- a/services/entry/direct_slots.go
+++ b/services/entry/direct_slots.go
@@ -102,7 +102,7 @@
 		if target, full := d.choose(now, q, room, gateways, scarce); target != nil {
 			service.shares.Granted(shared)
 			service.inFlight++
-			return &slot{target: target, needsPreemption: full, total: targets.TotalLoad(target.ID),
+			return &slot{target: target, needsPreemption: full, total: targets.TotalLoad(target.ID), tokens: q.HeldTokens(),
 				direct: &directSlot{service: q.Service, request: shared, since: now}}, nil
 		}
 	}
@@ -154,6 +154,7 @@
 // release frees a slot.
 func (d *directSlots) release(now time.Time, used *slot) {
 	d.follower.Targets.Release(used.target.ID, false)
+	d.follower.Targets.ReleaseTokens(used.target.ID, false, used.tokens)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	service := d.services[used.direct.service]
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -55,6 +55,7 @@
 	checkedAt    time.Time       // when the caller was last known to wait
 	stopWatching func()
 	target       *roster.Record    // target that has the request; nil: none
+	timing       targetcall.Timing // of target's response
 	sentAfter    time.Duration     // from the start until the request went to its last target
 	headAfter    time.Duration     // from the start until the response header arrived
 	slot         *slot             // at target; nil: none
@@ -66,7 +67,7 @@
 	onTrial      bool              // the current run is a trial
 	trialCrashes int               // crashes known when it began
 	response     *targetcall.Response
-	exchange     exchange // with target
+	observed     bool // the exchange with target is counted as evidence on a rollout
 }
 
 // forward sends a request to a target and returns the response to the caller.
@@ -143,6 +144,7 @@
 		f.server.bodies.give(taken)
 		if err == nil {
 			f.noteAnswered()
+			f.timing.Plain(time.Now())
 			if f.shouldRetryStatus(f.response.Status) {
 				f.tried[f.target.ID] = true
 				f.releaseTarget()
@@ -220,6 +222,7 @@
 		}
 		if status < http.StatusMultipleChoices {
 			f.noteCompleted()
+			f.noteRun()
 		}
 	}
 	s.log.Info("request_finished", "request", f.call.id, "route", f.call.route.Name, "workspace", f.call.workspaceName(),
@@ -227,6 +230,17 @@
 		"fill", fill, "sent_ms", ms(f.sentAfter), "first_ms", ms(f.headAfter), "after_ms", ms(elapsed), "error", failure)
 }
 
+// noteRun records how fast the target was, for its next requests.
+func (f *forwarding) noteRun() {
+	if f.target == nil || f.response == nil {
+		return
+	}
+	if run := f.timing.Report(f.target, f.slot.total, f.response.Load.PacePercent); run != nil {
+		f.server.follower.Targets.ObserveRun(time.Now(), *run)
+		f.slot.run = run
+	}
+}
+
 // attempt sends the request to one target after another until one responds.
 func (f *forwarding) attempt() *outcome.Error {
 	for {
@@ -250,17 +264,20 @@
 			f.releaseTarget()
 			return failure
 		}
-		f.exchange = exchange{startedAt: time.Now()}
+		f.observed = false
+		f.timing.Begin(time.Now())
 		response, err := f.server.targetClient.Do(f.ctx, f.target, f.request)
 		if err == nil {
 			f.executions++
 			f.response = response
+			f.server.slots.reportLoad(f.slot, response.Load)
 			return nil
 		}
 		var failure *targetcall.Failure
 		if !errors.As(err, &failure) {
 			failure = &targetcall.Failure{Outcome: outcome.MayHaveRun, Reason: err.Error()}
 		}
+		f.server.slots.reportLoad(f.slot, failure.Load)
 		if failure.Outcome == outcome.NotRun {
 			f.refusals++
 		} else {
@@ -299,6 +316,8 @@
 	query := placement.Query{Service: f.service, Exclude: f.tried, Version: f.version, Rollout: s.follower.Gate.Service(f.service)}
 	if service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
+		query.Tokens, query.Memory = f.call.tokens, service.KVCapacity
+		s.absurdSizes.check(s.log, f.call, &query)
 	}
 	if f.version != nil && (!s.follower.Targets.HasVersion(f.service, *f.version) || s.follower.Gate.Bars(f.service, *f.version, true)) {
 		return outcome.New(outcome.VersionGone, f.outcomeSoFar(), "no target of service %s runs version %s", f.service, *f.version).WithRetryAfter(noTargetRetryAfter)
@@ -337,6 +356,7 @@
 		Workspace:   f.call.workspaceName(),
 		Priority:    f.call.priority(),
 		ObjectiveMS: f.call.objectiveMS(time.Now()),
+		Tokens:      q.Tokens,
 	}
 	if (service == nil || service.Slots == 0) && f.stream == streams.NoKey && !s.follower.Targets.HasLimits(q.Service) {
 		return s.slots.acquireDirectly(time.Now(), request, q)
--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -45,6 +45,8 @@
 	id      atomic.Uint64 // id of this broker, one per term; 0: this host does not lead
 	granted metrics.Counter
 	refused metrics.Counter
+	runs    metrics.Counter // reported by gateways
+	loads   metrics.Counter
 
 	mu        sync.Mutex
 	grants    map[rpc.SlotID]grant
@@ -61,6 +63,7 @@
 	expires time.Time
 	suspect bool               // the request may crash the target
 	shared  *fairshare.Request // counted in the shares of the service; nil: it is not
+	tokens  int64              // that the target holds for it
 }
 
 func newBroker(s *Server, r *runner) *broker {
@@ -70,6 +73,8 @@
 		runner:  r,
 		granted: metrics.GetOrRegisterCounter("broker.slots.granted", s.cfg.Metrics),
 		refused: metrics.GetOrRegisterCounter("broker.slots.refused", s.cfg.Metrics),
+		runs:    metrics.GetOrRegisterCounter("broker.runs.reported", s.cfg.Metrics),
+		loads:   metrics.GetOrRegisterCounter("broker.loads.reported", s.cfg.Metrics),
 		grants:  make(map[rpc.SlotID]grant),
 		returns: make(map[string]*placement.Returns),
 		shares:  make(map[string]*fairshare.Shares),
@@ -111,7 +116,8 @@
 	if r.Stream != streams.NoKey {
 		b.server.origins.begun(streams.Group{Origin: streams.Origin{Service: r.Service, Version: target.Version}, Keys: []streams.Key{r.Stream}})
 	}
-	return &rpc.SlotGrant{Target: target.ID, Total: b.targets.TotalLoad(target.ID), Version: target.Version}, nil
+	return &rpc.SlotGrant{Target: target.ID, Total: b.targets.TotalLoad(target.ID), Version: target.Version,
+		Pace: b.targets.ExpectedPace(now, target.ID)}, nil
 }
 
 // place chooses a target within the shares of the workspaces, and records the grant.
@@ -133,7 +139,8 @@
 		b.sharing.granted(r.Workspace, decision)
 	}
 	expires := now.Add(time.Duration(r.RemainingMS)*time.Millisecond + grantGrace)
-	b.grants[r.ID] = grant{target: target.ID, service: r.Service, since: now, expires: expires, suspect: r.IsSuspect, shared: shared}
+	b.grants[r.ID] = grant{target: target.ID, service: r.Service, since: now, expires: expires, suspect: r.IsSuspect, shared: shared,
+		tokens: query.HeldTokens()}
 	return target, full, nil
 }
 
@@ -158,6 +165,7 @@
 	}
 	if service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
+		query.Tokens, query.Memory = r.Tokens, service.KVCapacity
 	}
 	return query
 }
@@ -217,6 +225,20 @@
 	if now.Sub(b.lastSweep) >= sweepInterval {
 		b.lastSweep = now
 		b.dropExpired(now)
+		b.logSpeeds(now)
+	}
+}
+
+// logSpeeds logs what the broker has learned of targets that differ.
+func (b *broker) logSpeeds(now time.Time) {
+	targets, services := b.targets.SpeedChanges(now)
+	for service, bySpeed := range services {
+		b.server.log.Info("service_chosen_by_speed", "service", service, "by_speed", bySpeed)
+	}
+	for i := range targets {
+		c := &targets[i]
+		b.server.log.Info("target_speed", "target", c.Target, "service", c.Service, "time_percent", c.TimePercent, "pace_percent", c.PacePercent,
+			"limit", c.Limit, "slots", c.Slots, "runs", c.Runs)
 	}
 }
 
@@ -241,9 +263,11 @@
 	if g.shared != nil {
 		b.shares[g.service].Released(*g.shared, held)
 	}
+	b.targets.ReleaseTokens(g.target, false, g.tokens)
 }
 
-// release frees slots, and records the targets that failed.
+// release frees slots, and records the targets that failed and what gateways saw of
+// others.
 func (b *broker) release(_ context.Context, r *rpc.SlotRelease) (*rpc.Ack, error) {
 	return b.releaseAt(time.Now(), r)
 }
@@ -252,6 +276,17 @@
 	for _, target := range r.Failed {
 		b.targets.Failed(now, target)
 	}
+	for i := range r.Loads {
+		b.targets.ApplyLoad(now, r.Loads[i])
+	}
+	for i := range r.Runs {
+		b.targets.ObserveRun(now, r.Runs[i])
+	}
+	b.loads.Inc(int64(len(r.Loads)))
+	b.runs.Inc(int64(len(r.Runs)))
+	if len(r.IDs) == 0 {
+		return &rpc.Ack{}, nil
+	}
 	b.mu.Lock()
 	for _, id := range r.IDs {
 		held := time.Duration(0)
--- a/services/jobhost/rollouts.go
+++ b/services/jobhost/rollouts.go
@@ -20,10 +20,7 @@
 	if errors.As(err, &failure) && failure.Outcome == outcome.NotRun {
 		return
 	}
-	latency := time.Since(i.startedAt)
-	if !i.firstEventAt.IsZero() {
-		latency = i.firstEventAt.Sub(i.startedAt)
-	}
+	latency := i.timing.Latency(time.Now())
 	rejected := status >= http.StatusMultipleChoices && status < http.StatusInternalServerError
 	switch {
 	case err == nil || rejected && cause == nil:
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -42,8 +42,11 @@
 	startedAt      time.Time
 	cancel         context.CancelCauseFunc
 	route          string
-	firstEventAt   time.Time
 	tokens         int64
+	held           int64 // tokens that the target holds
+	fill           int   // items and requests at the target at the start, including this one
+	timing         targetcall.Timing
+	pacePercent    int // that the target named in its response; 0: none
 	maxAttempts    int
 	startEvent     int64 // last event of the item before this run
 	loggedFailures int   // failed attempts that the replicated log holds
@@ -72,6 +75,9 @@
 		i.completed = true
 		r.trials.completed(i.parts)
 		r.follower.Targets.Succeeded(i.target.ID)
+		if run := i.timing.Report(i.target, i.fill, i.pacePercent); run != nil {
+			r.follower.Targets.ObserveRun(time.Now(), *run)
+		}
 		r.results.addFinished(jobs.Finished{ItemRef: i.ref, State: jobs.Completed, Text: i.progress.fullText()})
 		r.finishRun(i, false)
 	case errors.Is(cause, errTargetSilent):
@@ -121,6 +127,7 @@
 func (i *itemRun) readResponse(ctx context.Context) (status int, err error) {
 	silenceTimer := time.AfterFunc(silenceTimeout, func() { i.cancel(errTargetSilent) })
 	defer silenceTimer.Stop()
+	i.timing.Begin(time.Now())
 	response, err := i.runner.targetClient.Do(ctx, i.target, i.request)
 	if err != nil {
 		var failure *targetcall.Failure
@@ -130,6 +137,7 @@
 		return status, err
 	}
 	defer response.Close()
+	i.pacePercent = response.Load.PacePercent
 	if response.Status != http.StatusOK {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response, maxErrorBytes)) // only the status counts
 		return response.Status, errors.Newf("status %d", response.Status)
@@ -137,6 +145,7 @@
 	events := targetcall.NewEventReader(response)
 	origin := streams.Origin{Service: i.target.Service, Version: i.target.Version}
 	for {
+		waitedSince := time.Now()
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			return response.Status, nil
@@ -145,9 +154,7 @@
 			return 0, err
 		}
 		silenceTimer.Reset(silenceTimeout)
-		if i.firstEventAt.IsZero() {
-			i.firstEventAt = time.Now()
-		}
+		i.timing.Event(waitedSince, time.Now())
 		if err := i.progress.appendEvent(event, origin); err != nil {
 			return 0, err
 		}
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/placement"
 	"banyanwalk/core/roster"
 	"banyanwalk/infra/targetconn"
 )
@@ -46,9 +47,10 @@
 // Failure describes why a target gave no response that may be passed on.
 type Failure struct {
 	Outcome outcome.Outcome
-	Status  int    // of the response; 0: there is none
-	Reason  string // for logs
-	Closed  bool   // the target closed or reset the connection, as it does when its process ends
+	Status  int                  // of the response; 0: there is none
+	Reason  string               // for logs
+	Closed  bool                 // the target closed or reset the connection, as it does when its process ends
+	Load    placement.TargetLoad // that the response named; zero: none
 }
 
 // Error returns the reason, the status and the outcome.
@@ -65,7 +67,8 @@
 type Response struct {
 	Status       int
 	Header       http.Header
-	Reused       bool // it came over a connection that had served earlier requests
+	Load         placement.TargetLoad // that the target named; zero: none
+	Reused       bool                 // it came over a connection that had served earlier requests
 	body         io.ReadCloser
 	conn         *targetconn.Conn
 	pool         *targetconn.Pool
@@ -81,8 +84,10 @@
 type Client struct {
 	headers        HeaderNames
 	limits         LimitObserver
+	loads          LoadObserver
 	connsOpened    metrics.Counter
 	strayResponses metrics.Counter
+	malformedLoads metrics.Counter
 
 	mu    sync.Mutex
 	pools map[string]*targetPool // by id, process start time and address
@@ -95,12 +100,14 @@
 }
 
 // NewClient returns a client without open connections.
-func NewClient(headers HeaderNames, limits LimitObserver, registry metrics.Registry) *Client {
+func NewClient(headers HeaderNames, observer Observer, registry metrics.Registry) *Client {
 	return &Client{
 		headers:        headers,
-		limits:         limits,
+		limits:         observer,
+		loads:          observer,
 		connsOpened:    metrics.GetOrRegisterCounter("targets.connections.opened", registry),
 		strayResponses: metrics.GetOrRegisterCounter("targets.answers.stray", registry),
+		malformedLoads: metrics.GetOrRegisterCounter("targets.loads.malformed", registry),
 		pools:          make(map[string]*targetPool),
 	}
 }
@@ -154,7 +161,9 @@
 	}
 	c.observeLeaving(target, resp)
 	c.observeLimit(target, resp)
+	c.observeLoad(target, resp)
 	if err := c.checkResponse(r, resp); err != nil {
+		err.Load = resp.Load
 		resp.drain()
 		resp.Close()
 		return nil, err
@@ -215,7 +224,7 @@
 // checkResponse returns the failure for a response that says that the request did
 // not run, lacks a target's signature, or is encoded though the caller did not ask
 // for it.
-func (c *Client) checkResponse(r *Request, resp *Response) error {
+func (c *Client) checkResponse(r *Request, resp *Response) *Failure {
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
 		return &Failure{Outcome: outcome.NotRun, Status: resp.Status, Reason: "another target serves this address"}
