--- a/services/entry/read_ahead_test.go
+++ b/services/entry/read_ahead_test.go
@@ -89,13 +89,12 @@
 // What is held for one caller that reads nothing is bounded. Its response is ended
 // before it is complete, and others are served.
 func TestResponseOfSlowCallerIsEnded(t *testing.T) {
-	registry := metrics.NewRegistry()
-	f := newFixtureWithConfig(t, func(c *Config) { c.Metrics = registry }, standin.Behaviour{})
+	f := newFixture(t, standin.Behaviour{})
 	sent := f.addLongTarget(20_000)
 	conn := f.sendSlowly("a")
 	assert.False(t, receive(t, sent), "the gateway has ended the request")
 	assert.Eventually(t, func() bool {
-		return metrics.GetOrRegisterCounter("entry.callers.slow", registry).Count() == 1 && f.gateway.openRequests.Load() == 0
+		return f.gateway.ahead.ended.Count() == 1 && f.gateway.openRequests.Load() == 0
 	}, waitTimeout, time.Millisecond)
 	assert.Zero(t, f.gateway.ahead.held.Value())
 	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(4<<20))
