director: gateways get the others' spending often, and their loads every 250 ms

Cause: with bounded quotas each gateway got the whole aggregate of the other processes every 100 ms from two control hosts, mostly the loads of all targets, which the quotas don't need. Change: between two aggregates only what was spent is sent.

--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -103,7 +103,7 @@
 type FollowPing struct {
 	Load           MemberLoad `msgpack:"l"`
 	WantsPeerLoads bool       `msgpack:"o"`           // requests the aggregated load of the other processes
-	PeerLoadsOften bool       `msgpack:"p,omitempty"` // at the shortest interval, because the subscriber keeps to bounds of quotas
+	SpentOften     bool       `msgpack:"p,omitempty"` // requests its Spent at the shortest interval, to keep to bounds of quotas
 	// AcceptsEarly, in the first ping, requests the catalog even before a quorum has
 	// confirmed it.
 	AcceptsEarly bool `msgpack:"e,omitempty"`
@@ -119,6 +119,7 @@
 	Members         int                       `msgpack:"n"`           // processes, not counting the subscriber
 	Gateways        int                       `msgpack:"g"`           // gateways among them
 	GatewaysHeard   int                       `msgpack:"r,omitempty"` // gateways among them that have reported very lately
+	WithoutLoads    bool                      `msgpack:"x,omitempty"` // Loads, BrokerID and Members are left out, and those sent before still count
 }
 
 // TargetReport is a target's report and the time since its arrival.
--- a/services/director/follow.go
+++ b/services/director/follow.go
@@ -42,15 +42,15 @@
 	name := first.Load.Member.Name
 	s.log.Info("follower_joined", "member", name, "role", first.Load.Member.Role, "member_process", first.Load.Member.Incarnation)
 	s.registry.reportMember(time.Now(), first.Load)
-	var wantsPeerLoads, peerLoadsOften atomic.Bool
-	peerLoadsOften.Store(first.PeerLoadsOften)
+	var wantsPeerLoads, spentOften atomic.Bool
+	spentOften.Store(first.SpentOften)
 	var timesAsked atomic.Uint64
 	wantsPeerLoads.Store(first.WantsPeerLoads)
 	var wg conc.WaitGroup
 	wg.Go(func() {
 		defer stream.Close()
 		s.push(ctx, &pusher{server: s, stream: stream, name: name, acceptsEarly: first.AcceptsEarly, wantsPeerLoads: &wantsPeerLoads,
-			peerLoadsOften: &peerLoadsOften, timesAsked: &timesAsked})
+			spentOften: &spentOften, timesAsked: &timesAsked})
 	})
 	defer wg.Wait()
 	defer cancel()
@@ -61,7 +61,7 @@
 			return nil
 		}
 		s.registry.reportMember(time.Now(), ping.Load)
-		peerLoadsOften.Store(ping.PeerLoadsOften)
+		spentOften.Store(ping.SpentOften)
 		if !wantsPeerLoads.Swap(ping.WantsPeerLoads) && ping.WantsPeerLoads {
 			timesAsked.Add(1)
 		}
@@ -99,7 +99,7 @@
 	stream             *wire.Stream
 	name               string
 	wantsPeerLoads     *atomic.Bool   // the follower asks for the aggregate of the other processes
-	peerLoadsOften     *atomic.Bool   // at the shortest interval
+	spentOften         *atomic.Bool   // at the shortest interval
 	timesAsked         *atomic.Uint64 // how often it has begun to ask
 	spentSentFor       uint64         // timesAsked for which sentSpent holds
 	sentSpent          map[string]uint64
@@ -112,7 +112,8 @@
 	storageHosts       []rpc.Member
 	controlHosts       []uint64  // replica IDs last sent
 	storageHostsSentAt time.Time // when the storage hosts were last sent
-	peerLoadsSentAt    time.Time // when PeerLoads was last sent
+	peerLoadsSentAt    time.Time // when PeerLoads was last sent with the loads
+	spentSentAt        time.Time // and with or without them
 	lastSent           time.Time
 }
 
@@ -177,18 +178,27 @@
 	push.StorageHosts = hosts
 }
 
-// addPeerLoads adds the aggregate of the other processes. The broker and gateways that
-// keep to bounds of quotas need it most often.
+// addPeerLoads adds the aggregate of the other processes. The broker needs it most
+// often. Gateways that keep to bounds of quotas need only what the others have spent as
+// often; the loads are most of the bytes.
 func (p *pusher) addPeerLoads(now time.Time, push *rpc.FollowPush) {
+	if !p.wantsPeerLoads.Load() {
+		return
+	}
 	interval := peerLoadsInterval
-	if p.peerLoadsOften.Load() || p.server.registry.isStorageLeader(p.name) {
+	if p.server.registry.isStorageLeader(p.name) {
 		interval = pushInterval
 	}
-	if !p.wantsPeerLoads.Load() || now.Sub(p.peerLoadsSentAt) < interval {
+	switch {
+	case now.Sub(p.peerLoadsSentAt) >= interval:
+		p.peerLoadsSentAt = now
+		push.PeerLoads = p.server.registry.sumPeerLoads(now, p.name)
+	case p.spentOften.Load() && now.Sub(p.spentSentAt) >= pushInterval:
+		push.PeerLoads = p.server.registry.sumPeerSpent(now, p.name)
+	default:
 		return
 	}
-	p.peerLoadsSentAt = now
-	push.PeerLoads = p.server.registry.sumPeerLoads(now, p.name)
+	p.spentSentAt = now
 	if !p.debtsSent {
 		push.PeerLoads.Debts = p.server.registry.largestDebts(now)
 		p.debtsSent = push.PeerLoads.Gateways > 0
--- a/services/director/sums.go
+++ b/services/director/sums.go
@@ -26,6 +26,29 @@
 	heardFrom map[string]bool            // gateways that heard counts
 }
 
+// sumPeerSpent is sumPeerLoads without the loads.
+func (r *registry) sumPeerSpent(now time.Time, except string) *rpc.PeerLoads {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refreshSums(now)
+	sum := &rpc.PeerLoads{HostIncarnation: r.hostIncarnation, Gateways: r.sums.gateways, GatewaysHeard: r.sums.heard, Spent: r.spentByOthers(except), WithoutLoads: true}
+	r.subtractGateway(sum, except)
+	return sum
+}
+
+// subtractGateway takes the named member off the numbers of gateways, if it is one of
+// them. The caller holds the lock.
+func (r *registry) subtractGateway(sum *rpc.PeerLoads, member string) {
+	own := r.sums.included[member]
+	if own == nil || own.Member.Role != rpc.RoleGateway {
+		return
+	}
+	sum.Gateways--
+	if r.sums.heardFrom[member] {
+		sum.GatewaysHeard--
+	}
+}
+
 // sumPeerLoads aggregates the loads and quota use of all members but one. The loads
 // of silent members no longer count, but the tokens they have spent do.
 func (r *registry) sumPeerLoads(now time.Time, except string) *rpc.PeerLoads {
@@ -36,12 +59,7 @@
 		Spent: r.spentByOthers(except), Loads: maps.Clone(r.sums.loads)}
 	if own := r.sums.included[except]; own != nil {
 		sum.Members--
-		if own.Member.Role == rpc.RoleGateway {
-			sum.Gateways--
-			if r.sums.heardFrom[except] {
-				sum.GatewaysHeard--
-			}
-		}
+		r.subtractGateway(sum, except)
 		subtractLoads(sum, own)
 	}
 	return sum
--- a/services/follow/feed.go
+++ b/services/follow/feed.go
@@ -123,7 +123,7 @@
 		if acceptsChanges.Load() {
 			changes.reduce(time.Now(), &load)
 		}
-		if err := stream.Send(&rpc.FollowPing{Load: load, WantsPeerLoads: wantsPeerLoads, PeerLoadsOften: f.Buckets.Bounded(), AcceptsEarly: f.cfg.AcceptEarly}); err != nil {
+		if err := stream.Send(&rpc.FollowPing{Load: load, WantsPeerLoads: wantsPeerLoads, SpentOften: f.Buckets.Bounded(), AcceptsEarly: f.cfg.AcceptEarly}); err != nil {
 			return
 		}
 		sentSpends, sentLeavings = spends, leavings
--- a/services/follow/merge.go
+++ b/services/follow/merge.go
@@ -156,7 +156,10 @@
 	if !f.Buckets.Bounded() && f.peerLoads != nil && f.peerLoads.HostIncarnation != peers.HostIncarnation {
 		f.Buckets.ForgetSource(aggregatorID(f.peerLoads))
 	}
-	f.peerLoads, f.peerLoadsReceivedAt = peers, now
+	f.peerLoadsReceivedAt = now
+	if !peers.WithoutLoads {
+		f.peerLoads = peers
+	}
 	if f.Buckets.Bounded() {
 		f.Buckets.ApplyPeers(f.QuotaNow(), quota.PeerReport{Source: aggregatorID(peers), Spent: peers.Spent, Primary: from == f.primary, Live: peers.GatewaysHeard + 1})
 	} else {
@@ -165,7 +168,9 @@
 	if peers.Gateways > 0 {
 		f.Buckets.ApplyInitialDebts(peers.Debts)
 	}
-	f.setPeerLoads(peers)
+	if !peers.WithoutLoads {
+		f.setPeerLoads(peers)
+	}
 }
 
 // aggregatorID identifies the incarnation of the control host that computed the aggregate.
