Use one boottime clock in services/follow

gateClock and boottimeNow returned the same time. The rollout gate, its grants and the quota buckets now share boottimeNow; its comment says what it counts.

--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -110,7 +110,7 @@
 		cfg:               cfg,
 		Targets:           placement.New(cfg.Member.DataCentre),
 		Buckets:           quota.New(),
-		Gate:              rollout.NewGate(gateClock),
+		Gate:              rollout.NewGate(boottimeNow),
 		roster:            roster.New(),
 		lastPushes:        make(map[string]time.Time),
 		controlHosts:      make(map[string]bool),
@@ -239,7 +239,8 @@
 	return time.Now()
 }
 
-// boottimeNow returns the time since the machine booted, after a fixed date.
+// boottimeNow returns the time since the machine booted, after 1 January 1970. It counts
+// suspensions and does not jump with the time of day.
 func boottimeNow() time.Time { return time.Unix(0, 0).Add(time.Duration(boottime.Now())) }
 
 // ReportNow makes the process report its load immediately.
--- a/services/follow/rollouts.go
+++ b/services/follow/rollouts.go
@@ -9,7 +9,6 @@
 	"banyanwalk/core/catalog"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/rollout"
-	"banyanwalk/infra/boottime"
 	"banyanwalk/infra/pause"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/wire"
@@ -24,10 +23,6 @@
 	rolloutTimeout = 600 * time.Millisecond
 )
 
-// gateClock is the clock of the rollout gate. It counts suspensions, and is no time of
-// day.
-func gateClock() time.Time { return time.Unix(0, int64(boottime.Now())) }
-
 // rolloutReporter reports this process's evidence on rollouts and asks for grants.
 type rolloutReporter struct {
 	follower  *Follower
@@ -97,9 +92,9 @@
 	r.asked.Inc(int64(asked))
 	err := error(outcome.New(outcome.Unreachable, outcome.NotRun, "no control host is known"))
 	for _, host := range r.hosts() {
-		// A grant's time to live counts from before the call, so that the time for
-		// which this process or the call was held up counts too.
-		calledAt := gateClock()
+		// A grant's time to live starts before the call, so that it includes delays of
+		// the call and suspensions of this process.
+		calledAt := boottimeNow()
 		var response rpc.RolloutGrants
 		bounded, cancel := context.WithTimeout(ctx, rolloutTimeout)
 		err = r.pool.Call(bounded, host, rpc.MethodRolloutGrant, request, &response)
