--- a/cmd/banyanctl/rollouts.go
+++ b/cmd/banyanctl/rollouts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-
 	"fmt"
 	"io"
 	"net/http"
@@ -12,8 +11,6 @@
 
 	"banyanwalk/core/outcome"
 	"banyanwalk/infra/rpc"
-	"banyanwalk/infra/settings"
-	"banyanwalk/infra/tlsconf"
 	"banyanwalk/infra/wire"
 )
 
@@ -61,15 +58,10 @@
 // callControlHosts calls the control hosts in order until one answers with a response or
 // with an error that all of them would return.
 func callControlHosts(c *invocation, method wire.Method, request, response any) error {
-	controls := settings.SplitList(c.addrs)
-	if len(controls) == 0 {
-		return usageErrorf("-control contains no control host address")
-	}
-	tlsConfig, err := tlsconf.ClientConfig(c.caFile)
+	pool, controls, err := newControlPool(c)
 	if err != nil {
-		return usageErrorf("-tls-ca: %v", err)
+		return err
 	}
-	pool := wire.NewPool(tlsConfig)
 	defer pool.Close()
 	var lastErr error
 	for _, addr := range controls {
--- a/cmd/banyanctl/site.go
+++ b/cmd/banyanctl/site.go
@@ -38,16 +38,25 @@
 	Status *rpc.JobsStatus `json:"status,omitempty"`
 }
 
-func showSite(c *invocation) error {
-	controls := settings.SplitList(c.addrs)
+// newControlPool returns a pool for calls of control hosts, and the addresses of these
+// hosts, from the flags of registerSiteFlags. The caller closes the pool.
+func newControlPool(c *invocation) (pool *wire.Pool, controls []string, err error) {
+	controls = settings.SplitList(c.addrs)
 	if len(controls) == 0 {
-		return usageErrorf("-control contains no control host address")
+		return nil, nil, usageErrorf("-control contains no control host address")
 	}
 	tlsConfig, err := tlsconf.ClientConfig(c.caFile)
 	if err != nil {
-		return usageErrorf("-tls-ca: %v", err)
+		return nil, nil, usageErrorf("-tls-ca: %v", err)
+	}
+	return wire.NewPool(tlsConfig), controls, nil
+}
+
+func showSite(c *invocation) error {
+	pool, controls, err := newControlPool(c)
+	if err != nil {
+		return err
 	}
-	pool := wire.NewPool(tlsConfig)
 	defer pool.Close()
 	var report siteReport
 	if err := fetchSiteStatus(pool, controls, &report.Site); err != nil {
