--- a/services/targetcall/timing.go
+++ b/services/targetcall/timing.go
@@ -11,10 +11,10 @@
 	// minTimedEvents is how many events a response needs so that the time between them
 	// tells something of the target.
 	minTimedEvents = 4
-	// maxOtherShare is the part of the time from the first event to the last, as a
-	// divisor, that may pass while the target is not waited for: beyond it the caller
-	// has slowed the response down.
-	maxOtherShare = 4
+	// callerDelayDivisor is the part of the time from the first event to the last, as a
+	// divisor, that may pass without waiting for the target: beyond it the caller has
+	// slowed the response down.
+	callerDelayDivisor = 4
 )
 
 // Timing measures how fast a target answers one request.
@@ -27,7 +27,7 @@
 // Begin starts the measurement when the request is sent.
 func (t *Timing) Begin(now time.Time) { *t = Timing{sent: now} }
 
-// Event records an event that was waited for since a time.
+// Event records an event that arrived at now, after a wait that began at waitedSince.
 func (t *Timing) Event(waitedSince, now time.Time) {
 	if t.events++; t.events == 1 {
 		t.first = now
@@ -76,7 +76,7 @@
 		return run
 	}
 	between := t.last.Sub(t.first)
-	if t.events < minTimedEvents || between-t.waited > between/maxOtherShare {
+	if t.events < minTimedEvents || between-t.waited > between/callerDelayDivisor {
 		return nil
 	}
 	run.EventUS = max(1, (between / time.Duration(t.events-1)).Microseconds())
