Use plainer names in the choice of targets by speed and memory

differs returned the state of a service and is now serviceSpeedOf; the constants of the concurrency limit say what they compare and by how much the limit falls. hasMemory names its two conditions, and PaceChanged drops a comparison that could not matter. Missing doc comments are added. Behaviour is the same.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -22,8 +22,8 @@
 	// Rollout limits the versions to those that may get requests; nil: any may.
 	Rollout *rollout.ServiceGate
 
-	only    string // id of the only target to consider; empty: all
-	without string // version that is not considered; empty: none
+	onlyTarget     string // id of the only target to consider; empty: all
+	withoutVersion string // version that is not considered; empty: none
 }
 
 // Acquire chooses a target and counts the request there until Release. It
--- a/core/placement/completion.go
+++ b/core/placement/completion.go
@@ -7,10 +7,14 @@
 	"banyanwalk/core/roster"
 )
 
-// processSpread is how much the costs of a target differ between the processes that
-// place requests without the broker. Their knowledge is 200 ms old, and with equal
-// costs all of them would choose the same target.
-const processSpread = 0.3
+const (
+	// processSpread is how much the costs of a target differ between the processes that
+	// place requests without the broker. The loads that they know of are 200 ms old, and
+	// with equal costs all of them would choose the same target.
+	processSpread = 0.3
+	// fullCost exceeds the cost of a free slot at any usual target.
+	fullCost = 10
+)
 
 // completionCost returns the expected completion of one more request at a target,
 // relative to that at a usual target and by the share of its slots in use. Beyond the
@@ -31,12 +35,9 @@
 	return full + cost
 }
 
-// fullCost exceeds the cost of a free slot at any usual target.
-const fullCost = 10
-
 // relativeTime returns how long a target takes for a request, relative to the mean of
-// its service. What is known of a target that is given no requests counts less and
-// less, so that it is tried again. The caller holds the lock.
+// its service. The value of a target that is given no requests decays, so that the
+// target is tried again. The caller holds the lock.
 func (t *Targets) relativeTime(now time.Time, r *roster.Record) float64 {
 	s := t.speeds[r.ID]
 	if s == nil || s.incarnation != r.Incarnation {
@@ -44,7 +45,7 @@
 	}
 	relative := s.paceNow(now)
 	if s.learned {
-		relative *= math.Exp(s.unit - t.differs(r.Service).meanUnit)
+		relative *= math.Exp(s.unit - t.serviceSpeedOf(r.Service).meanUnit)
 	}
 	return relative * math.Exp(-float64(max(0, now.Sub(s.askedAt)-idleAfter))/float64(speedMemory))
 }
--- a/core/placement/concurrency.go
+++ b/core/placement/concurrency.go
@@ -3,12 +3,12 @@
 const (
 	// initialLimitShare is the part of its slots that a new target is given.
 	initialLimitShare = 0.5
-	// limitHolds is the ratio of a run's duration to the expected one up to which the
-	// latency holds, and limitBroken the one from which it does not.
-	limitHolds, limitBroken = 1.15, 1.4
-	// limitCut is the factor by which one slow run lowers a limit, and limitCutBroken
+	// onTimeRatio is the ratio of a run's duration to the expected one up to which the
+	// limit may rise, and slowRatio the one above which it falls.
+	onTimeRatio, slowRatio = 1.15, 1.4
+	// slowDecrease is the factor by which a slow run lowers a limit, and failureDecrease
 	// the one for a run that failed.
-	limitCut, limitCutBroken = 0.9, 0.5
+	slowDecrease, failureDecrease = 0.9, 0.5
 )
 
 // concurrencyLimit is how many requests a target runs without slowing down, as far as
@@ -22,12 +22,12 @@
 }
 
 // observe adapts the limit after a run with fill requests at the target. ratio is the
-// run's duration by the expected one.
+// run's duration divided by the expected one.
 func (l *concurrencyLimit) observe(fill, slots int, ratio float64) {
 	switch {
-	case ratio > limitBroken && float64(fill) >= l.value/2 && fill > 1:
-		l.value = max(1, min(l.value, float64(fill))*limitCut)
-	case ratio < limitHolds && float64(fill) >= l.value-1:
+	case ratio > slowRatio && float64(fill) >= l.value/2 && fill > 1:
+		l.value = max(1, min(l.value, float64(fill))*slowDecrease)
+	case ratio < onTimeRatio && float64(fill) >= l.value-1:
 		l.value = min(float64(slots), l.value+1/l.value)
 	}
 }
@@ -39,4 +39,4 @@
 }
 
 // failed lowers the limit after a run that the target failed.
-func (l *concurrencyLimit) failed() { l.value = max(1, l.value*limitCutBroken) }
+func (l *concurrencyLimit) failed() { l.value = max(1, l.value*failureDecrease) }
--- a/core/placement/memory.go
+++ b/core/placement/memory.go
@@ -24,9 +24,9 @@
 	// is used by directSharers gateways on average, with parts for twice as many.
 	maxSharers    = 24
 	directSharers = 8
-	// absurdSize is the multiple of a target's memory beyond which a request's size is
-	// taken for a mistake.
-	absurdSize = 10
+	// absurdSizeFactor is the multiple of a target's memory beyond which a request's size
+	// is taken for a mistake.
+	absurdSizeFactor = 10
 )
 
 // HeldTokens returns the tokens that a target holds for the request, as far as they
@@ -39,7 +39,7 @@
 }
 
 // IsAbsurd reports whether the size of a request is taken for a mistake.
-func (q *Query) IsAbsurd() bool { return q.Memory > 0 && q.Tokens > absurdSize*q.Memory }
+func (q *Query) IsAbsurd() bool { return q.Memory > 0 && q.Tokens > absurdSizeFactor*q.Memory }
 
 // SetGateways sets the number of gateways, including this process. The largest number
 // counts, since those that are not reported any more may still place requests.
@@ -61,11 +61,13 @@
 		return t.total(r.ID) == 0
 	}
 	own, peers := t.ownLoads[r.ID], t.peerLoads[r.ID]
-	placed, most := own.tokens()-own.BrokeredTokens, memoryShare
+	share := memoryShare
 	if t.limitSharer == "" {
-		most -= directMemoryShare // the gateways may use their part before this process is told
+		share -= directMemoryShare // the gateways may use their part before this process is told
 	}
-	return float64(own.tokens()+peers.tokens()+tokens) <= most*whole && float64(placed+tokens) <= t.memoryPart(now, r.ID)*whole
+	fitsTarget := float64(own.tokens()+peers.tokens()+tokens) <= share*whole
+	fitsOwnPart := float64(own.tokens()-own.BrokeredTokens+tokens) <= t.memoryPart(now, r.ID)*whole
+	return fitsTarget && fitsOwnPart
 }
 
 // memoryPart returns the part of a target's memory that the requests placed by this
@@ -97,6 +99,8 @@
 	t.addTokens(id, batch, -tokens)
 }
 
+// addTokens changes the tokens that this process counts at a target. The caller holds the
+// lock.
 func (t *Targets) addTokens(id string, batch bool, by int64) {
 	load := t.ownLoads[id]
 	if batch {
--- a/core/placement/speed.go
+++ b/core/placement/speed.go
@@ -71,7 +71,8 @@
 	reportedAt  time.Time // when it did
 }
 
-// serviceSpeed tells whether the targets of a service are chosen by their speed.
+// serviceSpeed is what is known of the speeds of a service's targets together. It decides
+// whether they are chosen by their speed.
 type serviceSpeed struct {
 	pacedAt   time.Time // when one of them last named a pace
 	spread    bool      // their learned speeds differ
@@ -92,8 +93,9 @@
 	return s
 }
 
-// differs returns the state of a service. The caller holds the lock.
-func (t *Targets) differs(service string) *serviceSpeed {
+// serviceSpeedOf returns the state of a service, and creates it if there is none. The
+// caller holds the lock.
+func (t *Targets) serviceSpeedOf(service string) *serviceSpeed {
 	d := t.serviceSpeeds[service]
 	if d == nil {
 		d = &serviceSpeed{}
@@ -110,7 +112,7 @@
 	if r == nil || r.Incarnation != run.Incarnation || run.FirstMS < 0 || run.EventUS < 0 || run.RanMS < 0 {
 		return
 	}
-	d := t.differs(r.Service)
+	d := t.serviceSpeedOf(r.Service)
 	if run.EventUS > 0 && !d.streams {
 		d.streams = true
 		t.forgetUnits(r.Service)
@@ -143,7 +145,7 @@
 	t.compareTargets(now, r.Service, d)
 }
 
-// observeRecent follows the pace of a target that names none.
+// observeRecent updates the pace of the newest runs, which stands in for a named one.
 func (s *speed) observeRecent(now time.Time, ratio float64) {
 	s.recent = blend(s.recent, 1, now.Sub(s.recentAt), recentMemory)
 	s.recent += recentWeight * (ratio - s.recent)
@@ -184,8 +186,8 @@
 	}
 }
 
-// compareTargets finds out from time to time whether the speeds of a service's targets
-// differ. The caller holds the lock.
+// compareTargets determines, every spreadInterval, whether the speeds of a service's
+// targets differ. The caller holds the lock.
 func (t *Targets) compareTargets(now time.Time, service string, d *serviceSpeed) {
 	if now.Sub(d.checkedAt) < spreadInterval {
 		return
--- a/core/placement/targetload.go
+++ b/core/placement/targetload.go
@@ -49,7 +49,7 @@
 // that expects another one. Both are in percent; 0 means that there is none.
 func PaceChanged(expected, read int) bool {
 	if read == 0 || expected == 0 {
-		return read != expected && read > 0
+		return read > 0
 	}
 	return math.Abs(math.Log(float64(read)/float64(expected))) > math.Log(paceChange)
 }
@@ -80,7 +80,7 @@
 		return
 	}
 	s.takePace(readAt, believedPace(load.PacePercent))
-	t.differs(r.Service).pacedAt = now
+	t.serviceSpeedOf(r.Service).pacedAt = now
 }
 
 // ExpectedPace returns the pace that a target is expected to have, in percent, or 0 if
@@ -95,6 +95,7 @@
 	return int(math.Round(percent * s.paceNow(now)))
 }
 
+// takePace records a named pace. The first one also starts the mean.
 func (s *speed) takePace(readAt time.Time, pace float64) {
 	if s.pace == 0 {
 		s.meanPace = pace
--- a/core/placement/versions.go
+++ b/core/placement/versions.go
@@ -20,7 +20,7 @@
 // the request.
 func (q *Query) takesVersion(r *roster.Record) bool {
 	switch {
-	case q.only != "" && r.ID != q.only, q.without != "" && r.Version == q.without:
+	case q.onlyTarget != "" && r.ID != q.onlyTarget, q.withoutVersion != "" && r.Version == q.withoutVersion:
 		return false
 	case q.Version != nil && r.Version != *q.Version:
 		return false
@@ -29,14 +29,14 @@
 }
 
 // chooseVersion returns the best target of a version that may get the request, and takes
-// the grant that it needs.
+// the grant that it needs. The caller holds the lock.
 func (t *Targets) chooseVersion(now time.Time, q Query) *roster.Record {
 	if q.Rollout == nil {
 		return t.bestOrFailed(now, q)
 	}
 	if version, unconfirmed := q.Rollout.Unconfirmed(); unconfirmed && q.Version == nil {
 		old := q
-		old.without = version
+		old.withoutVersion = version
 		if chosen := admitted(q, t.best(now, old, false)); chosen != nil {
 			return chosen
 		}
@@ -58,7 +58,7 @@
 		}
 	}
 	old := q
-	old.without = canary
+	old.withoutVersion = canary
 	if chosen := admitted(q, t.bestOrFailed(now, old)); chosen != nil {
 		return chosen
 	}
@@ -109,7 +109,7 @@
 			continue
 		}
 		one := q
-		one.only = r.ID
+		one.onlyTarget = r.ID
 		if t.best(now, one, false) != nil {
 			return r
 		}
