Use plainer names in core/fairshare

noise, shortParts and lowestPart did not say what they are; they are countDeviations, recentParts and minPriorityDivisor. The comments state the rule of each constant, and the two conditions of Within have names. Missing doc comments are added.

--- a/core/fairshare/fairshare.go
+++ b/core/fairshare/fairshare.go
@@ -15,18 +15,18 @@
 	window = 1 * time.Second
 	// windowParts divides the window, so that it moves in steps of 100 ms.
 	windowParts = 10
-	// shortParts is the part of the window that shows a jump of the demand, before the
-	// requests that came with it fill all slots.
-	shortParts = 3
-	// noise is how many standard deviations are taken off the number of requests in the
-	// short part, or before a whole window has passed since the start.
-	noise = 2
+	// recentParts is how many of the newest parts are counted by themselves, so that a
+	// jump of the demand shows before its requests fill all slots.
+	recentParts = 3
+	// countDeviations is how many standard deviations are subtracted from the number of
+	// requests in the recent parts, or in the window until a whole one has passed.
+	countDeviations = 2
 	// reserveDivisor is the part of the slots, as a divisor, that workspaces beyond
-	// their share leave free. Those within it then find a free slot unless as many of
-	// their requests come before the next slots are released.
+	// their share leave free. A request within a share then finds a free slot unless
+	// more of them than the reserve arrive before the next slots are released.
 	reserveDivisor = 32
-	// levelAge is how long a computed level is used. 600 requests a second would
-	// otherwise each sort all workspaces.
+	// levelAge is how long a computed level is used. Otherwise each of 600 requests a
+	// second would sort all workspaces.
 	levelAge = 5 * time.Millisecond
 	// initialHold is assumed until the first request has ended. Requests to model
 	// engines mostly run for 0.3 to 1 s.
@@ -34,15 +34,16 @@
 	// holdWeight is the weight of the newest sample in the moving average of how long
 	// a request holds its slot.
 	holdWeight = 0.05
-	// tolerance and toleranceSlots are by how much the demand of a workspace may exceed
-	// its share before it counts as beyond it. Small workspaces often have two or three
+	// A workspace counts as within its share while its demand is at most tolerance times
+	// the share plus toleranceSlots. Small workspaces often have two or three
 	// requests at once, and while all workspaces send a little too much, the short
 	// queue at the targets serves more callers in time than refusals do.
 	tolerance      = 1.25
 	toleranceSlots = 2
-	// lowestPart is the part of a workspace's share, as a divisor, that its requests of
-	// the second priority may use however many of the highest there are.
-	lowestPart = 8
+	// minPriorityDivisor is the part of a workspace's share, as a divisor, that its
+	// requests of the second priority may use whatever the demand of the highest. Each
+	// lower priority has half of that.
+	minPriorityDivisor = 8
 )
 
 // Request is a request that needs a slot.
@@ -126,7 +127,8 @@
 	d.Contended = true
 	d.Share = s.level * w.weight
 	own := s.entitlement(now, w, r.Priority, d.Share)
-	d.Within = float64(w.inFlight) < d.Share && float64(w.class(r.Priority).inFlight) < own || s.demandOf(now, w) <= tolerance*d.Share+toleranceSlots
+	holdsLess := float64(w.inFlight) < d.Share && float64(w.class(r.Priority).inFlight) < own
+	d.Within = holdsLess || s.demandOf(now, w) <= tolerance*d.Share+toleranceSlots
 	d.MayQueue = d.Within
 	if !d.Within && own < d.Share {
 		reserve *= 2 // what is lent goes to the workspace's higher priorities first
@@ -136,17 +138,16 @@
 }
 
 // entitlement returns how many slots of a workspace's share its requests of a priority
-// may use: what higher priorities leave, but not less than an eighth of the share, or
-// than half of what the next higher priority has at least.
+// may use: what higher priorities leave, and at least its minimum by minPriorityDivisor.
 func (s *Shares) entitlement(now time.Time, w *workspace, priority int, share float64) float64 {
-	left, least := share, 2*share/lowestPart
+	left, minimum := share, 2*share/minPriorityDivisor
 	for p, c := range w.classes {
 		if p < priority {
 			left -= s.demand(now, c)
-			least /= 2
+			minimum /= 2
 		}
 	}
-	return max(left, least)
+	return max(left, minimum)
 }
 
 // Granted counts a request that has a place, until Released.
@@ -176,6 +177,8 @@
 // Hold returns the moving average of how long a request holds its place.
 func (s *Shares) Hold() time.Duration { return s.hold }
 
+// workspace returns the state of a request's workspace with its current weight, and
+// creates it if there is none.
 func (s *Shares) workspace(r Request) *workspace {
 	w := s.workspaces[r.Workspace]
 	if w == nil {
@@ -188,6 +191,7 @@
 	return w
 }
 
+// class returns the state of a priority, and creates it if there is none.
 func (w *workspace) class(priority int) *class {
 	c := w.classes[priority]
 	if c == nil {
@@ -241,11 +245,11 @@
 	elapsed := max(now.Sub(s.started), part)
 	wanted := float64(c.total(now, windowParts))
 	if elapsed < window {
-		wanted -= noise * math.Sqrt(wanted)
+		wanted -= countDeviations * math.Sqrt(wanted)
 	}
 	wanted /= min(window, elapsed).Seconds()
-	newest := float64(c.total(now, shortParts))
-	wanted = max(wanted, (newest-noise*math.Sqrt(newest))/min(shortParts*part, elapsed).Seconds())
+	newest := float64(c.total(now, recentParts))
+	wanted = max(wanted, (newest-countDeviations*math.Sqrt(newest))/min(recentParts*part, elapsed).Seconds())
 	return max(float64(c.inFlight), wanted*s.hold.Seconds())
 }
 
