Call the rounding of fractions of tokens by its usual name

Drawing by lot is randomized rounding. ApplyPeers leaves the arithmetic of late spending to applySpending. Values and behaviour are the same.

--- a/core/quota/bounded.go
+++ b/core/quota/bounded.go
@@ -11,9 +11,9 @@
 	// reportAge is how old the reports of other gateways may be: 100 ms until the next
 	// report, 100 ms until the next push, and delays on a busy machine.
 	reportAge = 400 * time.Millisecond
-	// ownWindow is the time for which a gateway holds what it has spent against its part
-	// of the level. Others know of it after reportAge. Longer than that, because a gateway that
-	// spends again after reportAge does not know yet what others spent just before.
+	// ownWindow is the time for which a gateway counts what it has spent against its part
+	// of the level. It is longer than reportAge, after which the others know of it: a
+	// gateway that spends again then does not know yet what others spent just before.
 	ownWindow = reportAge * 3 / 2
 	// spentSlots divides ownWindow for counting.
 	spentSlots = 16
@@ -34,12 +34,12 @@
 	// overageUse is the part of the overage that is spent on purpose. The rest covers
 	// what gateways spend unknown to each other while their parts change.
 	overageUse = 0.85
-	// lotChance and smallLotChance reduce the chances of a lot for a fraction of a token,
-	// since lots are drawn anew before all gateways know what the former ones brought.
-	// With 1 for both, a workspace of 2 a second exceeded its bound by 5 when 1000
+	// roundUpChance and smallRoundUpChance reduce the probability with which a fraction
+	// of a token is rounded up, since it is drawn anew before all gateways know what the
+	// previous draws allowed. With 1 for both, a workspace of 2 a second exceeded its bound by 5 when 1000
 	// requests a second came.
-	lotChance      = 0.85
-	smallLotChance = 0.4 // for parts below one token
+	roundUpChance      = 0.85
+	smallRoundUpChance = 0.4 // for parts below one token
 	// useTimeConstant is how fast parts follow the use of gateways.
 	useTimeConstant = 3 * time.Second
 	// maxReturnWait bounds the times at which refused callers are told to return.
@@ -55,7 +55,7 @@
 }
 
 // extra returns the tokens by which a level may be overdrawn. One is left for the
-// fractions of tokens that are drawn by lot.
+// fractions of tokens that are rounded at random.
 func (b *Bounds) extra(rate Rate) float64 {
 	return overageUse*b.Overage*(rate.PerSecond*b.Window.Seconds()+rate.Burst) + max(0, b.Slack-1)
 }
@@ -150,15 +150,11 @@
 			credit = held.reserved * float64(silentBefore-s.silent) / float64(silentBefore)
 			held.reserved -= credit
 		}
-		total, reported := report.Spent[workspace]
 		delta := 0.0
-		if reported {
+		if total, reported := report.Spent[workspace]; reported {
 			delta = held.mergeTotal(report.Source, total, s.sources[report.Source])
 		}
-		// Tokens that did not fit count for spending that is reported late, but not for
-		// a burst just now.
-		late := min(delta, max(0, held.overflow-held.rate.PerSecond*isolatedAfter.Seconds()))
-		held.level = min(held.rate.Burst, held.level+credit+late-delta)
+		held.applySpending(delta, credit)
 		if report.Primary {
 			held.overflow = 0
 			held.updateUse(now)
@@ -171,7 +167,15 @@
 	}
 }
 
-// setGateways takes the number of live gateways. One that is not heard of counts as
+// applySpending deducts spending of other gateways from the level and adds a credit of
+// tokens that were left for them. Tokens that did not fit the burst count for spending
+// that is reported late, but not for a burst just now.
+func (h *boundedBucket) applySpending(spent, credit float64) {
+	late := min(spent, max(0, h.overflow-h.rate.PerSecond*isolatedAfter.Seconds()))
+	h.level = min(h.rate.Burst, h.level+credit+late-spent)
+}
+
+// setGateways sets the number of gateways from that of the live ones. One that is not heard of counts as
 // silent until gatewaysRetention has passed.
 func (s *bounded) setGateways(now time.Time, live int) {
 	if !s.heard || live >= s.gateways || now.Sub(s.gatewaysAt) > gatewaysRetention {
@@ -265,6 +269,7 @@
 	}
 }
 
+// isolatedBurst returns the burst of this gateway's equal part, at least one token.
 func (s *bounded) isolatedBurst(h *boundedBucket) float64 {
 	return max(1, h.rate.Burst/float64(s.gateways))
 }
@@ -273,8 +278,8 @@
 //
 // What all may spend until they know of each other's spending is the level plus the
 // extra. The first tokens of it are divided one to each gateway, because small
-// workspaces have no more, the rest by part. A fraction of a token is drawn by lot, so
-// that parts below one token add up as well.
+// workspaces have no more, the rest by part. A fraction of a token is rounded at
+// random, so that parts below one token add up as well.
 func (s *bounded) allowance(now time.Time, workspace string, h *boundedBucket) float64 {
 	own := h.recentSpent(s.slot(now))
 	available := h.level + own + s.bounds.extra(h.rate) - float64(s.silent)*s.isolatedBurst(h)
@@ -283,15 +288,16 @@
 	}
 	gateways := float64(s.gateways)
 	share := min(available, gateways)/gateways + max(0, available-gateways)*s.part(h)
-	chance := lotChance
+	chance := roundUpChance
 	if share < 1 {
-		chance = smallLotChance
+		chance = smallRoundUpChance
 	}
-	return math.Floor(share+chance*s.lot(now, workspace)) - own
+	return math.Floor(share+chance*s.random(now, workspace)) - own
 }
 
-// lot returns a number from 0 to 1 that stays the same for one ownWindow.
-func (s *bounded) lot(now time.Time, workspace string) float64 {
+// random returns a number from 0 to 1 that stays the same for one ownWindow and differs
+// between gateways and workspaces.
+func (s *bounded) random(now time.Time, workspace string) float64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(workspace)) // never fails
 	_, _ = h.Write(strconv.AppendInt(nil, int64(now.Sub(s.startedAt)/ownWindow), 10))
