Complete the doc comments of core/rollout and read its gates in one place

Active, Service and SetRollouts repeated the nil check of Gate.all. Memory.Before, a count of responses, is named FinishingAnswers beside FinishingMS. Comments say what a value is for instead of referring to the one before.

--- a/core/rollout/cusum.go
+++ b/core/rollout/cusum.go
@@ -38,8 +38,8 @@
 	routePriorAnswers = 20
 	// minOldAnswers is how many responses of the old version are needed for a comparison.
 	minOldAnswers = 20
-	// recentMS is the time constant of the old version's recent share. The share at the
-	// same time counts, because it differs with the load.
+	// recentMS is the time constant of the old version's recent share, in milliseconds.
+	// The recent share counts because the share varies with the load.
 	recentMS = 1000
 	// minPeakAnswers is how many recent responses a peak needs; the share of fewer varies
 	// too much.
@@ -51,10 +51,11 @@
 // tally is a number of responses and the bad ones among them.
 type tally struct{ answers, bad float64 }
 
+// share returns the share of bad responses, with those of a prior added.
 func (t tally) share(prior tally) float64 { return (t.bad + prior.bad) / (t.answers + prior.answers) }
 
 // ratio returns the log-likelihood ratio of the responses: positive if they speak for a
-// version that is worse than one with the share p.
+// version with a clearly larger share of bad responses than p.
 func (t tally) ratio(p float64) float64 {
 	p = math.Max(p, leastShare)
 	worse := math.Min(largestShare, p+math.Max(leastDifference, relativeDifference*p))
@@ -81,7 +82,7 @@
 	prior      tally
 	first      bool    // of this leader: it covers a longer time, and no burst level holds
 	load       float64 // by which the share on all routes is above that since the start
-	alone      bool    // the old version gets no more requests
+	alone      bool    // only the new version gets requests
 }
 
 // observe adds the responses of one interval. The old version's share is its share at the
--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -18,7 +18,7 @@
 	// canarySlack is the part of the slack that Canary may use. The rest is for requests
 	// that reached the new version before all processes knew of the rollout.
 	canarySlack = 0.6
-	// firstSlack is the part of that which may be used at once. The rest becomes available
+	// firstSlack is the part of canarySlack that may be used at once. The rest becomes available
 	// evenly until Finishing, so that a small service has evidence all the time.
 	firstSlack = 0.35
 
@@ -28,13 +28,14 @@
 	finishingMS    = 7000
 	// largestFinishingShare bounds finishingMS.
 	largestFinishingShare = 0.25
-	// watchShare of the time of Finishing passes before Completed, so that badness which
-	// shows only under the whole load is noticed while the old targets still run.
+	// watchShare of the time of Finishing passes before Completed, so that faults which
+	// show only under the whole load are noticed while the old targets still run.
 	watchShare = 0.5
 	// leastWatchMS of Finishing passes in any case: processes learn of it within 200 ms, and
 	// the numbers of their requests are up to 200 ms old.
 	leastWatchMS = 1500
-	// endedShare of the time of Finishing is left when Canary ends without a proof.
+	// endedShare of the time of Finishing is left when Canary ends even if the evidence
+	// is incomplete.
 	endedShare = 0.35
 	// completionShare of the time of Finishing is left at the latest at Completed, whether
 	// or not all requests at the old version have ended.
@@ -43,7 +44,8 @@
 	watchAnswers = 100
 
 	// badLimit is the number of bad responses beyond those to be expected at which a
-	// version is reverted at once. It is well below 50, as requests are on their way.
+	// version is reverted at once. It is well below 50, from which the rollback delay
+	// counts, as further requests are in flight by then.
 	badLimit = 20
 	// badDifference is by how much the share of bad responses must exceed the old one for
 	// that, and badDeviations by how many standard deviations the number must.
@@ -110,15 +112,16 @@
 	OldInFlight int // requests at targets of other versions
 }
 
-// Memory is what Decide keeps between two calls. The zero value is that of a new leader.
+// Memory is the state of the tests that Decide keeps between two calls. The zero value is
+// that of a new leader.
 type Memory struct {
-	LastMS      int64
-	FirstNewMS  int64  // when the new version's first responses were seen
-	FinishingMS int64  // when Finishing was first seen
-	Before      uint64 // responses of the new version until then
-	PeakLoad    int    // most requests seen at the targets of the service at once
-	All         RouteMemory
-	Routes      map[string]RouteMemory
+	LastMS           int64
+	FirstNewMS       int64  // when the new version's first responses were seen
+	FinishingMS      int64  // when Finishing was first seen
+	FinishingAnswers uint64 // responses of the new version until then
+	PeakLoad         int    // most requests seen at the targets of the service at once
+	All              RouteMemory
+	Routes           map[string]RouteMemory
 }
 
 // RouteMemory is the state of the tests of one route, or of all routes together.
@@ -206,6 +209,8 @@
 	}
 }
 
+// decideFinishing judges a rollout in Finishing that is not found bad. left is the time
+// until the limit and finishing the whole time of the phase, in milliseconds.
 func (m *Memory) decideFinishing(nowMS, left, finishing int64, o *Observed, advance func(Phase, string, ...any) Decision) Decision {
 	switch {
 	case o.LedgerAgeMS < gatherMS:
@@ -214,7 +219,7 @@
 		return advance(Reverted, "near the time limit: %s", m.doubt())
 	case left <= int64(completionShare*float64(finishing)):
 		return advance(Completed, "the time limit is near; %d requests are at the old version", o.OldInFlight)
-	case left > int64(watchShare*float64(finishing)), nowMS-m.FinishingMS < leastWatchMS, o.Sum.New.Answers < m.Before+watchAnswers:
+	case left > int64(watchShare*float64(finishing)), nowMS-m.FinishingMS < leastWatchMS, o.Sum.New.Answers < m.FinishingAnswers+watchAnswers:
 		return Decision{Why: "observes the new version under the whole load"}
 	case o.OldInFlight > 0:
 		return Decision{Why: fmt.Sprintf("%d requests are at the old version", o.OldInFlight)}
@@ -237,7 +242,7 @@
 		m.FirstNewMS = nowMS
 	}
 	if m.FinishingMS == 0 && r.Phase == Finishing {
-		m.FinishingMS, m.Before = nowMS, o.Sum.New.Answers
+		m.FinishingMS, m.FinishingAnswers = nowMS, o.Sum.New.Answers
 	}
 	if o.Sum.Old.Answers < minOldAnswers {
 		return m // the responses of the new version are compared later
@@ -266,6 +271,7 @@
 	failures, slow float64 // see interval.load
 }
 
+// observe adds the responses of one route, or of all together, since the previous call.
 func (m RouteMemory) observe(step routeStep, oldSum, newSum Counts, failurePrior, slowPrior tally) RouteMemory {
 	old, added := oldSum.since(m.old), newSum.since(m.new)
 	failed := func(c Counts) tally { return tally{float64(c.Answers), float64(c.Failed)} }
@@ -283,6 +289,7 @@
 	return m
 }
 
+// warmingUp reports whether slow responses may be due to cold targets.
 func (m *Memory) warmingUp(nowMS int64, r *Rollout, cold bool) bool {
 	if m.FirstNewMS == 0 {
 		return true
@@ -314,6 +321,7 @@
 	return ""
 }
 
+// compare describes the counts of both versions for operators.
 func compare(fresh, old Counts) string {
 	return fmt.Sprintf("%d failed and %d slow of %d, the old one %d and %d of %d", fresh.Failed, fresh.Slow, fresh.Answers, old.Failed, old.Slow, old.Answers)
 }
--- a/core/rollout/gate.go
+++ b/core/rollout/gate.go
@@ -65,6 +65,7 @@
 	references map[string]*reference // by route
 }
 
+// heldGrant is a grant with its requests that are not spent yet.
 type heldGrant struct {
 	requests int
 	expires  time.Time
@@ -92,9 +93,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	next := make(map[string]*ServiceGate, len(rollouts))
-	if known := g.services.Load(); known != nil {
-		next = maps.Clone(*known)
-	}
+	maps.Copy(next, g.all())
 	for _, r := range rollouts {
 		s := next[r.Service]
 		if s == nil {
@@ -148,7 +147,7 @@
 	return r.Version, r.Phase == Finishing && s.now().UnixNano() > s.confirmedTo.Load()
 }
 
-// bars reports whether no request may go to a version.
+// bars is Gate.Bars for one service.
 func (s *ServiceGate) bars(version string, resumed bool) bool {
 	if !s.rollout.Load().bars(version, resumed) {
 		return false
@@ -159,11 +158,7 @@
 
 // Service returns the gate of a service, or nil if no rollout of it is known.
 func (g *Gate) Service(name string) *ServiceGate {
-	services := g.services.Load()
-	if services == nil {
-		return nil
-	}
-	return (*services)[name]
+	return g.all()[name]
 }
 
 // Admit reports whether one more request may go to a target of a version now, and takes
@@ -344,11 +339,7 @@
 
 // Active reports whether a rollout is in a phase that control decides on evidence.
 func (g *Gate) Active() bool {
-	services := g.services.Load()
-	if services == nil {
-		return false
-	}
-	for _, s := range *services {
+	for _, s := range g.all() {
 		if !s.rollout.Load().Phase.Final() {
 			return true
 		}
@@ -380,6 +371,7 @@
 	return wanted
 }
 
+// all returns the gates of the services with a known rollout, which must not be changed.
 func (g *Gate) all() map[string]*ServiceGate {
 	if services := g.services.Load(); services != nil {
 		return *services
@@ -387,6 +379,7 @@
 	return nil
 }
 
+// wanted returns the number of further requests for Wanted and starts a new period.
 func (s *ServiceGate) wanted() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -436,6 +429,8 @@
 	}
 }
 
+// observe counts how a request ended, and adds the response to the reference of its route
+// if an old version completed it.
 func (s *ServiceGate) observe(service, version, route string, a Answer, aborted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/rollout/ledger.go
+++ b/core/rollout/ledger.go
@@ -135,6 +135,7 @@
 	return g.requests - min(g.requests, spent)
 }
 
+// placedAtNew returns the requests that a process has placed at the new version.
 func (l *Ledger) placedAtNew(incarnation uint64) uint64 {
 	var placed uint64
 	if p := l.processes[incarnation]; p != nil {
--- a/core/rollout/record.go
+++ b/core/rollout/record.go
@@ -32,6 +32,7 @@
 		Failed: c.Failed - min(c.Failed, earlier.Failed), Slow: c.Slow - min(c.Slow, earlier.Slow)}
 }
 
+// max returns the larger of each count.
 func (c Counts) max(o Counts) Counts {
 	return Counts{Requests: max(c.Requests, o.Requests), Answers: max(c.Answers, o.Answers), Failed: max(c.Failed, o.Failed), Slow: max(c.Slow, o.Slow)}
 }
@@ -113,6 +114,7 @@
 	return all[at], true
 }
 
+// search returns the index of a service's rollout, or where it would be inserted.
 func search(all []Rollout, service string) (int, bool) {
 	return slices.BinarySearchFunc(all, service, func(r Rollout, s string) int { return cmp.Compare(r.Service, s) })
 }
--- a/core/rollout/reference.go
+++ b/core/rollout/reference.go
@@ -31,11 +31,12 @@
 	}
 }
 
+// isSlow reports whether a response is slow by its latency or by the gaps of its events.
 func (r *reference) isSlow(a Answer) bool {
 	return r.latencies.isSlow(a.Latency) || a.Gap > 0 && r.gaps.isSlow(a.Gap)
 }
 
-// window holds the newest durations and their median.
+// window holds the newest durations, at most referenceSamples, and their median.
 type window struct {
 	samples []time.Duration
 	next    int
@@ -53,6 +54,7 @@
 	w.median = sorted[len(sorted)/2]
 }
 
+// isSlow reports whether a duration is clearly longer than the median.
 func (w *window) isSlow(d time.Duration) bool {
 	return len(w.samples) >= minReferenceSamples && d > time.Duration(slowFactor*float64(w.median))+slowMargin
 }
