Split the handling of grants and of advances in services/director

grantRollouts forwarded, checked, took evidence and built grants; grantRollout now builds those of one rollout, and logAdvance writes the log line of decideRollout. The names isConfirmedLeader, addEvidence and targetsKnownAfter say what they mean. Messages, log keys and metrics are the same.

--- a/services/director/rollouts.go
+++ b/services/director/rollouts.go
@@ -27,8 +27,8 @@
 	// requests. Another leader may have reverted the rollout by then; with the time for
 	// which grants may be spent it stays below the rollback delay.
 	leadershipLimit = 1 * time.Second
-	// versionsSettled is the uptime after which this host has heard from all targets.
-	versionsSettled = 6 * time.Second
+	// targetsKnownAfter is the uptime after which this host has heard from all targets.
+	targetsKnownAfter = 6 * time.Second
 )
 
 // rollouts is what the leader keeps of the active rollouts besides the log.
@@ -69,6 +69,7 @@
 	return err
 }
 
+// logBegin checks an order and puts it in the log.
 func (s *Server) logBegin(ctx context.Context, service, version string, duration time.Duration) error {
 	if !s.cfg.Rollout.Set() {
 		return outcome.New(outcome.RolloutUnbounded, outcome.NotRun, "the settings lack exposure_share or rollback_ms")
@@ -85,12 +86,13 @@
 		}
 		return outcome.New(outcome.UnknownName, outcome.NotRun, "service %s is unknown", service)
 	}
-	inForce := seen.NewTargets > 0 && seen.OldTargets == 0 && time.Since(s.startedAt) >= versionsSettled
+	inForce := seen.NewTargets > 0 && seen.OldTargets == 0 && time.Since(s.startedAt) >= targetsKnownAfter
 	_, err := s.executeResult(bounded, catalog.Command{Rollout: &rollout.Command{Begin: &rollout.Begin{AtMS: s.state.clock.NowMS(), Service: service,
 		Version: version, DurationMS: duration.Milliseconds(), InForce: inForce}}})
 	return err
 }
 
+// isInDocument reports whether the document in force names a service.
 func (s *Server) isInDocument(service string) bool {
 	state := s.state.state()
 	if state.Version == 0 {
@@ -123,6 +125,7 @@
 	return record, nil
 }
 
+// beginRollout serves rpc.MethodRolloutBegin.
 func (s *Server) beginRollout(ctx context.Context, b *rpc.RolloutBegin) (*rpc.Ack, error) {
 	if b.Service == "" || b.Version == "" || b.DurationMS <= 0 {
 		return nil, outcome.New(outcome.BadRequest, outcome.NotRun, "a rollout needs a service, a version and a duration")
@@ -165,54 +168,68 @@
 	if !s.hasActiveRollout() {
 		return grants, nil
 	}
-	if !s.leadsForCertain() {
+	if !s.isConfirmedLeader() {
 		return nil, outcome.New(outcome.NoQuorum, outcome.NotRun, "no quorum has confirmed the leader of the control group")
 	}
 	nowMS := s.state.clock.NowMS()
-	ttl := s.cfg.Rollout.GrantTTL()
 	for _, record := range s.state.state().Rollouts {
 		if record.Phase.Final() {
 			continue
 		}
-		s.takeEvidence(nowMS, &record, report)
-		if record.Phase == rollout.Finishing {
-			grants.Grants = append(grants.Grants, rpc.RolloutGrant{Service: record.Service, Version: record.Version, TTLMS: ttl.Milliseconds()})
+		s.addEvidence(nowMS, &record, report)
+		granted, err := s.grantRollout(bounded, &record, report)
+		if err != nil {
+			return nil, err
+		}
+		grants.Grants = append(grants.Grants, granted...)
+	}
+	return grants, nil
+}
+
+// grantRollout returns the grants of one active rollout for a process: the confirmation of
+// rollout.Finishing, or requests to the new version.
+func (s *Server) grantRollout(ctx context.Context, record *rollout.Rollout, report *rpc.RolloutReport) ([]rpc.RolloutGrant, error) {
+	grant := rpc.RolloutGrant{Service: record.Service, Version: record.Version, TTLMS: s.cfg.Rollout.GrantTTL().Milliseconds()}
+	if record.Phase == rollout.Finishing {
+		return []rpc.RolloutGrant{grant}, nil
+	}
+	var grants []rpc.RolloutGrant
+	for _, wanted := range report.Wanted {
+		if wanted.Service != record.Service || wanted.Version != record.Version || wanted.Requests <= 0 {
 			continue
 		}
-		for _, wanted := range report.Wanted {
-			if wanted.Service != record.Service || wanted.Version != record.Version || wanted.Requests <= 0 {
-				continue
-			}
-			n, err := s.handOut(bounded, record.Service, report.Incarnation, wanted.Requests)
-			if err != nil {
-				return nil, err
-			}
-			if n > 0 {
-				grants.Grants = append(grants.Grants, rpc.RolloutGrant{Service: record.Service, Version: record.Version, Requests: n, TTLMS: ttl.Milliseconds()})
-			}
+		n, err := s.handOut(ctx, record.Service, report.Incarnation, wanted.Requests)
+		if err != nil {
+			return nil, err
+		}
+		if n > 0 {
+			grant.Requests = n
+			grants = append(grants, grant)
 		}
 	}
 	return grants, nil
 }
 
-func (s *Server) takeEvidence(nowMS int64, record *rollout.Rollout, report *rpc.RolloutReport) {
+// addEvidence adds a process's evidence to the state of an active rollout.
+func (s *Server) addEvidence(nowMS int64, record *rollout.Rollout, report *rpc.RolloutReport) {
 	s.rollouts.mu.Lock()
 	defer s.rollouts.mu.Unlock()
 	s.rollouts.get(nowMS, record).Report(nowMS, report.Incarnation, report.Evidence)
 }
 
-// handOut gives a process requests to the new version. They are in the log before that.
+// handOut grants a process requests to the new version, which are in the log before that,
+// and returns their number.
 func (s *Server) handOut(ctx context.Context, service string, incarnation uint64, wanted int) (int, error) {
 	s.rollouts.logging.Lock()
 	defer s.rollouts.logging.Unlock()
-	if !s.leadsForCertain() {
-		return 0, nil // while this request waited for another one's log entry
+	if !s.isConfirmedLeader() {
+		return 0, nil // the confirmation expired during another request's log entry
 	}
 	if err := s.logGrants(ctx, service, uint64(wanted)); err != nil {
 		return 0, err
 	}
 	record, found := rollout.Find(s.state.state().Rollouts, service)
-	if !found || record.Phase.Final() || !s.leadsForCertain() {
+	if !found || record.Phase.Final() || !s.isConfirmedLeader() {
 		return 0, nil
 	}
 	s.rollouts.mu.Lock()
@@ -264,7 +281,7 @@
 	}
 }
 
-// forgetAll drops the state of all rollouts, which the log or another leader now holds.
+// forgetAll drops the state of all rollouts: none is active, or another host leads.
 func (r *rollouts) forgetAll() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -272,6 +289,7 @@
 	r.confirmed.Store(0)
 }
 
+// hasActiveRollout reports whether the log holds a rollout that is not final.
 func (s *Server) hasActiveRollout() bool {
 	return slices.ContainsFunc(s.state.state().Rollouts, func(r rollout.Rollout) bool { return !r.Phase.Final() })
 }
@@ -286,23 +304,21 @@
 	}
 }
 
-// leadsForCertain reports whether a quorum has confirmed this host as the leader of late.
-func (s *Server) leadsForCertain() bool {
+// isConfirmedLeader reports whether a quorum has confirmed within leadershipLimit that this
+// host leads.
+func (s *Server) isConfirmedLeader() bool {
 	at := s.rollouts.confirmed.Load()
 	return at != 0 && boottime.Since(boottime.Instant(at)) <= leadershipLimit
 }
 
+// decideRollouts decides on all active rollouts if this host leads and a quorum confirms it.
 func (s *Server) decideRollouts(ctx context.Context) {
-	if !s.group.Replica().Status().IsLeader {
-		s.rollouts.forgetAll()
-		return
-	}
-	if !s.hasActiveRollout() {
+	if !s.group.Replica().Status().IsLeader || !s.hasActiveRollout() {
 		s.rollouts.forgetAll()
 		return
 	}
 	s.confirmLeadership(ctx)
-	if !s.leadsForCertain() {
+	if !s.isConfirmedLeader() {
 		return // nothing can be logged, and the state here may be old
 	}
 	for _, record := range s.state.state().Rollouts {
@@ -316,10 +332,12 @@
 	}
 }
 
+// decideRollout decides on one active rollout, and logs the next phase or the totals that
+// are due.
 func (s *Server) decideRollout(ctx context.Context, record *rollout.Rollout) {
 	nowMS := s.state.clock.NowMS()
 	seen := s.registry.versions(record.Service, record.Version)
-	if time.Since(s.startedAt) < versionsSettled {
+	if time.Since(s.startedAt) < targetsKnownAfter {
 		seen.OldTargets = max(1, seen.OldTargets) // not all targets may have reported
 	}
 	s.rollouts.mu.Lock()
@@ -348,6 +366,11 @@
 	if err == nil && result.Changed {
 		metrics.GetOrRegisterCounter("director.rollouts.advanced."+decision.Advance.Phase.String(), s.cfg.Metrics).Inc(1)
 	}
+	s.logAdvance(record, &decision, &sum, err)
+}
+
+// logAdvance logs the entry of the next phase and the evidence for it.
+func (s *Server) logAdvance(record *rollout.Rollout, decision *rollout.Decision, sum *rollout.Sum, err error) {
 	s.log.Info("rollout_advanced", "service", record.Service, "version", record.Version, "phase", decision.Advance.Phase.String(),
 		"reason", decision.Advance.Reason, "granted", record.Granted, "allowed", decision.Allowed, "reached", sum.Requests,
 		"responses", sum.New.Answers, "failed", sum.New.Failed, "slow", sum.New.Slow, "error", err)
@@ -387,13 +410,14 @@
 	return status, nil
 }
 
-// versionsSeen describes the targets of a service by version.
+// versionsSeen is the result of registry.versions.
 type versionsSeen struct {
 	rollout.Targets
 	known int // targets that have not gone
 }
 
-// versions describes the targets of a service by version.
+// versions counts the targets of a service, their slots and their requests, apart for
+// the given version and all others.
 func (r *registry) versions(service, version string) versionsSeen {
 	now := time.Now()
 	loads := r.sumPeerLoads(now, "").Loads
