Share the queue limits and share requests of broker and gateways

The broker and gateways without one had the same queue constants, the same rule for callers that return, the same weight of a workspace and the same decision of a request that no share limits. They call placement.EngineQueueFor, follow.ShareRequest and fairshare.Uncontended now. directSlots.acquire leaves its two preparations to functions, and places is named servesEngines. Tests use the new names; nothing they expect changes.

--- a/core/fairshare/fairshare.go
+++ b/core/fairshare/fairshare.go
@@ -69,6 +69,11 @@
 	Contended bool    // several workspaces compete for scarce slots
 }
 
+// Uncontended returns the decision on a request that no share limits.
+func Uncontended() Decision {
+	return Decision{Admitted: true, Within: true, MayQueue: true, Share: math.Inf(1)}
+}
+
 // Shares is the state of one service. It is not safe for concurrent use.
 type Shares struct {
 	workspaces map[string]*workspace
@@ -116,7 +121,8 @@
 	w := s.workspace(r)
 	w.class(r.Priority).count(now)
 	reserve := Reserve(c.Slots)
-	d := Decision{Admitted: true, Within: true, MayQueue: true, Share: math.Inf(1), InFlight: w.inFlight}
+	d := Uncontended()
+	d.InFlight = w.inFlight
 	if c.Free > 2*reserve {
 		return d
 	}
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -7,6 +7,26 @@
 	"banyanwalk/core/roster"
 )
 
+const (
+	// NoQueue as Query.MaxQueue admits a request to free slots only.
+	NoQueue = -1
+	// EngineQueue is how many requests may wait at a model engine beyond its slots. A slot
+	// becomes free every 100 ms, and the first event is due within 300 ms.
+	EngineQueue = 2
+	// EngineQueueOnRetry is EngineQueue for callers that have been refused before: they
+	// retry only once, and a late response is better than none.
+	EngineQueueOnRetry = 10
+)
+
+// EngineQueueFor returns the Query.MaxQueue of a request to a model engine. isRetry is set
+// if its caller has been refused before.
+func EngineQueueFor(isRetry bool) int {
+	if isRetry {
+		return EngineQueueOnRetry
+	}
+	return EngineQueue
+}
+
 // Query describes a request that needs a target.
 type Query struct {
 	Service         string
--- a/services/entry/direct_slots.go
+++ b/services/entry/direct_slots.go
@@ -14,11 +14,6 @@
 )
 
 const (
-	// directQueue is how many requests may wait at a target beyond its slots while
-	// there is no broker; directQueueOnRetry applies to callers that have been refused
-	// before. Both are those of the broker.
-	directQueue        = 2
-	directQueueOnRetry = 10
 	// busyDivisor is the part of all slots, as a divisor, from which on gateways without
 	// a broker use their own parts of the targets first.
 	busyDivisor = 4
@@ -56,8 +51,9 @@
 	return &directSlots{follower: f, services: make(map[string]*directService)}
 }
 
-// places reports whether the document says that a service's targets are model engines.
-func (d *directSlots) places(service string) bool {
+// servesEngines reports whether the document says that a service's targets are model
+// engines.
+func (d *directSlots) servesEngines(service string) bool {
 	table := d.follower.Table()
 	if table == nil {
 		return false
@@ -70,33 +66,19 @@
 func (d *directSlots) acquire(now time.Time, r *rpc.SlotRequest, q placement.Query) (*slot, *outcome.Error) {
 	targets := d.follower.Targets
 	gateways := d.follower.Gateways()
-	shared := fairshare.Request{Workspace: r.Workspace, Priority: r.Priority}
-	if workspace := d.follower.Table().Workspace(r.Workspace); workspace != nil {
-		shared.Weight = workspace.RatePerSecond
-	}
-	q.MaxQueue = directQueue
-	if r.IsRetry {
-		q.MaxQueue = directQueueOnRetry
-	}
+	shared := follow.ShareRequest(d.follower.Table(), r)
+	q.MaxQueue = placement.EngineQueueFor(r.IsRetry)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	service := d.services[q.Service]
-	if service == nil {
-		service = &directService{shares: fairshare.New()}
-		d.services[q.Service] = service
-	}
+	service := d.service(q.Service)
 	room := targets.Room(now, q)
-	part := fairshare.Capacity{Slots: ceil(room.Slots, gateways), Free: room.Slots}
-	scarce := room.Slots > 0 && room.Online >= room.Slots-room.Slots/scarceDivisor
-	if scarce {
-		part.Free = max(0, part.Slots-service.inFlight)
-	}
-	decision := fairshare.Decision{Admitted: true, Within: true, MayQueue: true}
+	part, scarce := service.part(room, gateways)
+	decision := fairshare.Uncontended()
 	if room.Slots > 0 { // else at best a target that failed before takes the request
 		decision = service.shares.Ask(now, shared, part)
 	}
 	if !decision.MayQueue {
-		q.MaxQueue = -1
+		q.MaxQueue = placement.NoQueue
 	}
 	if decision.Admitted {
 		if target, full := d.choose(now, q, room, gateways, scarce); target != nil {
@@ -109,6 +91,28 @@
 	return nil, d.refuse(now, service, part.Slots, r, q, decision)
 }
 
+// service returns the state of a service, and creates it if there is none. The caller
+// holds the lock.
+func (d *directSlots) service(name string) *directService {
+	service := d.services[name]
+	if service == nil {
+		service = &directService{shares: fairshare.New()}
+		d.services[name] = service
+	}
+	return service
+}
+
+// part returns this gateway's part of the room at a service's targets, and whether slots
+// are so scarce that it keeps to it. Until then, all slots count as free.
+func (s *directService) part(room placement.Room, gateways int) (part fairshare.Capacity, scarce bool) {
+	part = fairshare.Capacity{Slots: (room.Slots + gateways - 1) / gateways, Free: room.Slots}
+	scarce = room.Slots > 0 && room.Online >= room.Slots-room.Slots/scarceDivisor
+	if scarce {
+		part.Free = max(0, part.Slots-s.inFlight)
+	}
+	return part, scarce
+}
+
 // choose chooses a target. Reports of the other gateways' loads are old, so that all
 // gateways would choose the same targets; so each one uses its part of each target
 // first, and only this part while slots are scarce.
@@ -120,7 +124,7 @@
 	own := q
 	own.Exclude = make(map[string]bool, len(q.Exclude))
 	maps.Copy(own.Exclude, q.Exclude)
-	for _, id := range targets.OwnPartUsed(q.Service, min(directQueue, max(0, q.MaxQueue)), gateways) {
+	for _, id := range targets.OwnPartUsed(q.Service, min(placement.EngineQueue, max(0, q.MaxQueue)), gateways) {
 		own.Exclude[id] = true
 	}
 	if target, full = targets.Acquire(now, own); target != nil || scarce {
@@ -163,5 +167,3 @@
 	service.returns.Observe(held)
 	service.inFlight--
 }
-
-func ceil(a, b int) int { return (a + b - 1) / b }
--- a/services/entry/direct_slots_test.go
+++ b/services/entry/direct_slots_test.go
@@ -191,7 +191,7 @@
 	}
 	require.Equal(t, outcome.BeyondShare, failure.Code)
 	require.Positive(t, failure.RetryAfter)
-	require.LessOrEqual(t, len(held), (rush.Slots+directQueue)*rush.Targets/rushGateways)
+	require.LessOrEqual(t, len(held), (rush.Slots+placement.EngineQueue)*rush.Targets/rushGateways)
 	g.release(held[1], false)
 	small, failure := acquire("w60")
 	require.Nil(t, failure)
--- a/services/entry/rollouts.go
+++ b/services/entry/rollouts.go
@@ -15,7 +15,7 @@
 
 const (
 	// resumeGrantWait is how long a stream that goes on at a new version waits for a
-	// grant. No pause may exceed 250 ms.
+	// grant. No gap between two events may exceed 250 ms.
 	resumeGrantWait  = 200 * time.Millisecond
 	resumeGrantRetry = 40 * time.Millisecond
 )
@@ -33,7 +33,7 @@
 	return pause.For(f.ctx, resumeGrantRetry)
 }
 
-// answer returns the evidence of a response that has ended.
+// answer returns the evidence of a response with the given status that ends now.
 func (f *forwarding) answer(now time.Time, status int) rollout.Answer {
 	return rollout.Answer{Failed: status >= http.StatusInternalServerError, Latency: f.timing.Latency(now), Gap: f.timing.MeanGap()}
 }
--- a/services/entry/sizes.go
+++ b/services/entry/sizes.go
@@ -17,6 +17,7 @@
 	loggedAt atomic.Int64 // Unix nanoseconds
 }
 
+// check logs a request whose size counts as nothing, once each absurdSizeLogInterval.
 func (a *absurdSizes) check(log *telemetry.Log, c *call, q *placement.Query) {
 	if !q.IsAbsurd() {
 		return
--- a/services/entry/slots.go
+++ b/services/entry/slots.go
@@ -88,7 +88,7 @@
 // acquireDirectly acquires a slot without the broker, at a model engine within this
 // gateway's part of the places.
 func (s *slots) acquireDirectly(now time.Time, request *rpc.SlotRequest, q placement.Query) (*slot, *outcome.Error) {
-	if s.direct.places(q.Service) {
+	if s.direct.servesEngines(q.Service) {
 		return s.direct.acquire(now, request, q)
 	}
 	target, full := s.follower.Targets.Acquire(now, q)
--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -21,12 +21,6 @@
 	// grantGrace is added to a request's deadline; after that its slot counts as
 	// free even without a release.
 	grantGrace = 500 * time.Millisecond
-	// maxQueue is how many requests may wait at a target beyond its slots. A slot
-	// becomes free every 100 ms, and the first event is due within 300 ms.
-	maxQueue = 2
-	// maxQueueOnRetry is maxQueue for callers that have been refused before: they
-	// retry only once, and a late response is better than none.
-	maxQueueOnRetry = 10
 	// sweepInterval is the time between two sweeps for expired grants.
 	sweepInterval = 500 * time.Millisecond
 )
@@ -153,15 +147,12 @@
 	}
 	table := b.server.cfg.Follower.Table()
 	if table == nil {
-		query.MaxQueue = maxQueue
+		query.MaxQueue = placement.EngineQueue
 		return query
 	}
 	service := table.Service(r.Service)
 	if service == nil || service.Slots > 0 {
-		query.MaxQueue = maxQueue
-		if r.IsRetry {
-			query.MaxQueue = maxQueueOnRetry
-		}
+		query.MaxQueue = placement.EngineQueueFor(r.IsRetry)
 	}
 	if service != nil {
 		query.WarmupPerSecond = service.WarmupPerSecond
--- a/services/jobhost/jobhost_test.go
+++ b/services/jobhost/jobhost_test.go
@@ -291,7 +291,7 @@
 		_, err := f.host.broker.acquire(t.Context(), &rpc.SlotRequest{ID: rpc.SlotID{Incarnation: 1, Number: n}, Service: "llm", RemainingMS: 60_000, IsRetry: isRetry})
 		return err
 	}
-	for n := range uint64(targetSlots + maxQueue) {
+	for n := range uint64(targetSlots + placement.EngineQueue) {
 		require.NoError(t, acquire(n, false))
 	}
 	refused := acquire(99, false)
--- a/services/jobhost/shares.go
+++ b/services/jobhost/shares.go
@@ -10,11 +10,10 @@
 	"banyanwalk/core/placement"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
+	"banyanwalk/services/follow"
 )
 
 const (
-	// noQueue as placement.Query.MaxQueue admits a request to free slots only.
-	noQueue = -1
 	// shareLogInterval is the shortest time between two log lines about one workspace
 	// that is beyond its share.
 	shareLogInterval = 1 * time.Second
@@ -29,51 +28,48 @@
 // returns nil as the shared request for a service that is not shared: only services
 // with slots in the document are. The caller holds the lock.
 func (b *broker) share(now time.Time, r *rpc.SlotRequest, q *placement.Query) (*fairshare.Request, fairshare.Decision) {
-	everyone := fairshare.Decision{Admitted: true, Within: true, MayQueue: true}
 	table := b.server.cfg.Follower.Table()
 	if table == nil {
-		return nil, everyone
+		return nil, fairshare.Uncontended()
 	}
 	service := table.Service(r.Service)
 	if service == nil || service.Slots == 0 {
-		return nil, everyone
+		return nil, fairshare.Uncontended()
 	}
 	room := b.targets.Room(now, *q)
 	if room.Slots == 0 {
-		return nil, everyone // at best a target that failed before takes the request
-	}
-	shared := &fairshare.Request{Workspace: r.Workspace, Priority: r.Priority}
-	if workspace := table.Workspace(r.Workspace); workspace != nil {
-		shared.Weight = workspace.RatePerSecond
+		return nil, fairshare.Uncontended() // at best a target that failed before takes the request
 	}
+	shared := follow.ShareRequest(table, r)
 	shares := b.shares[r.Service]
 	if shares == nil {
 		shares = fairshare.New()
 		b.shares[r.Service] = shares
 	}
-	decision := shares.Ask(now, *shared, fairshare.Capacity{Slots: room.Slots, Free: room.Free})
+	decision := shares.Ask(now, shared, fairshare.Capacity{Slots: room.Slots, Free: room.Free})
 	switch {
 	case decision.Contended && !decision.MayQueue:
-		q.MaxQueue = noQueue
+		q.MaxQueue = placement.NoQueue
 	case decision.Contended:
 		q.MaxQueue = queueInTime(q.MaxQueue, shares.Hold(), service.Slots, r)
 	}
-	return shared, decision
+	return &shared, decision
 }
 
-// queueInTime returns how many requests may wait at a target so that the last one is
-// in time: a target with all slots in use frees one each time the mean hold time
+// queueInTime returns how many requests, at most limit, may wait at a target so that the
+// last one is in time: a target with all slots in use frees one each time the mean hold time
 // divided by its slots has passed. The response to a caller that returns, or that is
 // late anyway, only has to end before its deadline.
-func queueInTime(most int, hold time.Duration, slots int, r *rpc.SlotRequest) int {
+func queueInTime(limit int, hold time.Duration, slots int, r *rpc.SlotRequest) int {
 	left := time.Duration(r.RemainingMS) * time.Millisecond
 	if r.ObjectiveMS > 0 {
 		left = min(left, time.Duration(r.ObjectiveMS)*time.Millisecond)
 	}
-	if most = min(most, int(left*time.Duration(slots)/max(hold, time.Millisecond))); most <= 0 {
-		return noQueue
+	inTime := int(left * time.Duration(slots) / max(hold, time.Millisecond))
+	if limit = min(limit, inTime); limit <= 0 {
+		return placement.NoQueue
 	}
-	return most
+	return limit
 }
 
 // refuseBeyondShare returns the refusal of a request whose workspace holds its share.
@@ -125,6 +121,7 @@
 	return workspace
 }
 
+// granted counts a grant while slots are scarce.
 func (m *shareMeters) granted(workspace string, d fairshare.Decision) {
 	if d.Contended {
 		metrics.GetOrRegisterCounter("broker.shares.granted."+m.name(workspace), m.registry).Inc(1)
--- a/services/jobhost/shares_test.go
+++ b/services/jobhost/shares_test.go
@@ -92,7 +92,7 @@
 
 // placeWithoutBroker places a request as gateways do together while there is no broker.
 func (p *brokerPlacer) placeWithoutBroker(now time.Time) (int, time.Duration) {
-	target, _ := p.follower.Targets.Acquire(now, placement.Query{Service: "llm", MaxQueue: maxQueue})
+	target, _ := p.follower.Targets.Acquire(now, placement.Query{Service: "llm", MaxQueue: placement.EngineQueue})
 	if target == nil {
 		return -1, 300 * time.Millisecond
 	}
@@ -305,8 +305,8 @@
 		objective, remaining int64
 		most, expected       int
 	}{
-		{300, 5000, maxQueue, maxQueue}, {100, 5000, maxQueue, 1}, {50, 5000, maxQueue, noQueue},
-		{0, 5000, maxQueueOnRetry, maxQueueOnRetry}, {-1, 400, maxQueueOnRetry, 5}, {300, 5000, maxQueueOnRetry, 4}, {300, 0, maxQueue, noQueue},
+		{300, 5000, placement.EngineQueue, placement.EngineQueue}, {100, 5000, placement.EngineQueue, 1}, {50, 5000, placement.EngineQueue, placement.NoQueue},
+		{0, 5000, placement.EngineQueueOnRetry, placement.EngineQueueOnRetry}, {-1, 400, placement.EngineQueueOnRetry, 5}, {300, 5000, placement.EngineQueueOnRetry, 4}, {300, 0, placement.EngineQueue, placement.NoQueue},
 	} {
 		require.Equal(t, c.expected, queueInTime(c.most, hold, 8, &rpc.SlotRequest{ObjectiveMS: c.objective, RemainingMS: c.remaining}), c)
 	}
