Name the constants and steps of services/rush by their usual terms

low, high, hold and patience did not say of what, came and firstCame not which time. Types and steps have doc comments.

--- a/services/rush/rush.go
+++ b/services/rush/rush.go
@@ -1,5 +1,5 @@
 // Package rush replays a rush of callers on a fleet of simulated model engines in
-// virtual time, for tests of whoever places their requests.
+// virtual time, for tests of the broker and of gateways without one.
 package rush
 
 import (
@@ -16,14 +16,15 @@
 	Slots       = 8 // of each target
 	Workspaces  = 75
 	FirstEvent  = 300 * time.Millisecond // within which the first event is due
-	skew        = 1.2
-	perSecond   = 175.0 // mean of all workspaces together, before any of them is hot
-	hold        = 600 * time.Millisecond
-	engineDelay = 25 * time.Millisecond // from the start of a run to its first event at the caller
-	patience    = 5 * time.Second
-	period      = 6600 * time.Millisecond
-	lowPart     = 3800 * time.Millisecond // of a period
-	low, high   = 0.38, 1.84
+	skew        = 1.2                    // exponent of the Zipf distribution of rates over workspaces
+	perSecond   = 175.0                  // mean of all workspaces together, before any of them is hot
+	meanHold    = 600 * time.Millisecond // of a run
+	engineDelay = 25 * time.Millisecond  // from the start of a run to its first event at the caller
+	callerLimit = 5 * time.Second        // for which a caller waits
+	// The load alternates between two factors of the mean.
+	period            = 6600 * time.Millisecond
+	lowPart           = 3800 * time.Millisecond // of a period
+	lowLoad, highLoad = 0.38, 1.84
 	// WeightFactor is the limit of a workspace as a multiple of its mean rate.
 	WeightFactor = 4.0
 )
@@ -53,7 +54,7 @@
 	Limited  bool          // keeps workspaces to their rate limits
 	Base     float64       // factor of all loads; 0: 1
 	From, To time.Duration // while workspaces are hot
-	Counted  time.Duration // callers who came from then until To count; 0: From
+	Counted  time.Duration // callers who arrive from then until To count; 0: From
 	Length   time.Duration
 	Priority func(number uint64) int // nil: 0
 	At       []Event
@@ -79,7 +80,7 @@
 	Do func(now time.Time)
 }
 
-// Result counts the callers of some workspaces who came between Counted and To.
+// Result counts the callers of some workspaces who arrived between Counted and To.
 type Result struct {
 	Callers, InTime, Returned, Late, Refused, Limited int
 	first                                             []time.Duration
@@ -105,15 +106,17 @@
 	r.first = append(r.first, other.first...)
 }
 
+// engine is a simulated model engine.
 type engine struct {
 	running int
 	waiting []run
 }
 
+// run is one attempt of a caller at an engine.
 type run struct {
-	request   Request
-	came      time.Time // the attempt
-	firstCame time.Time // the caller
+	request     Request
+	attemptedAt time.Time
+	arrivedAt   time.Time // of the caller
 }
 
 // Start is the virtual time at which replays start.
@@ -157,10 +160,10 @@
 // rate is evaluated every 50 ms at most.
 func (r *Replay) scheduleNext(w int) {
 	const step = 50 * time.Millisecond
-	rate := Rate(w) * r.Base * low
+	rate := Rate(w) * r.Base * lowLoad
 	since := r.now.Sub(Start)
 	if since%period >= lowPart {
-		rate = Rate(w) * r.Base * high
+		rate = Rate(w) * r.Base * highLoad
 	}
 	if w < r.Hot && since >= r.From && since < r.To {
 		rate *= r.Factor
@@ -179,8 +182,9 @@
 	})
 }
 
+// arrive lets a caller arrive, and refuses it if its workspace is over its rate limit.
 func (r *Replay) arrive(w int) {
-	a := run{came: r.now, firstCame: r.now}
+	a := run{attemptedAt: r.now, arrivedAt: r.now}
 	r.number++
 	a.request = Request{Workspace: w, Number: r.number}
 	if r.Priority != nil {
@@ -197,8 +201,9 @@
 	r.attempt(a)
 }
 
+// attempt places a request, or schedules its one retry.
 func (r *Replay) attempt(a run) {
-	a.request.Remaining = patience - r.now.Sub(a.firstCame)
+	a.request.Remaining = callerLimit - r.now.Sub(a.arrivedAt)
 	target, retryAfter := r.placer.Place(r.now, a.request)
 	if target < 0 {
 		if a.request.IsRetry || retryAfter <= 0 {
@@ -208,7 +213,7 @@
 		r.schedule(r.now.Add(retryAfter), func() {
 			again := a
 			r.number++
-			again.request.Number, again.request.IsRetry, again.came = r.number, true, r.now
+			again.request.Number, again.request.IsRetry, again.attemptedAt = r.number, true, r.now
 			r.attempt(again)
 		})
 		return
@@ -218,6 +223,7 @@
 	r.startRuns(target)
 }
 
+// startRuns starts waiting runs while the target has free slots.
 func (r *Replay) startRuns(target int) {
 	e := &r.engines[target]
 	for e.running < Slots && len(e.waiting) > 0 {
@@ -225,7 +231,7 @@
 		e.waiting = e.waiting[1:]
 		e.running++
 		r.started(&a)
-		held := time.Duration(float64(hold) * (0.7 + 0.6*r.holds.Float64()))
+		held := time.Duration(float64(meanHold) * (0.7 + 0.6*r.holds.Float64()))
 		r.schedule(r.now.Add(held), func() {
 			r.engines[target].running--
 			r.placer.Release(r.now, a.request, target)
@@ -234,8 +240,9 @@
 	}
 }
 
+// started counts the result of an attempt whose run has started.
 func (r *Replay) started(a *run) {
-	first := r.now.Sub(a.came) + engineDelay
+	first := r.now.Sub(a.attemptedAt) + engineDelay
 	r.count(a, func(c *Result) {
 		c.first = append(c.first, first)
 		switch {
@@ -249,9 +256,10 @@
 	})
 }
 
+// count updates the results to which a caller belongs, if it counts.
 func (r *Replay) count(a *run, f func(*Result)) {
-	came := a.firstCame.Sub(Start)
-	if came < r.Counted || came >= r.To {
+	since := a.arrivedAt.Sub(Start)
+	if since < r.Counted || since >= r.To {
 		return
 	}
 	if r.Classes[a.request.Priority] == nil {
@@ -267,6 +275,7 @@
 	}
 }
 
+// schedule calls do at a virtual time.
 func (r *Replay) schedule(at time.Time, do func()) {
 	heap.Push(&r.queue, event{at: at, do: do})
 }
@@ -276,6 +285,7 @@
 	do func()
 }
 
+// eventQueue is a heap of events by time, for container/heap.
 type eventQueue []event
 
 func (q eventQueue) Len() int           { return len(q) }
