Keep the newest weight of a workspace when an older request ends

Released set the weight that the request was granted with, so after a change of a workspace's rate each release brought the former weight back until its next request. Only Ask sets the weight now; TestReleaseKeepsNewestWeight fails without it (1 for 3).

--- a/core/fairshare/fairshare.go
+++ b/core/fairshare/fairshare.go
@@ -119,6 +119,7 @@
 		s.started = now
 	}
 	w := s.workspace(r)
+	w.weight = r.weight() // Granted and Released may name a former one
 	w.class(r.Priority).count(now)
 	reserve := Reserve(c.Slots)
 	d := Uncontended()
@@ -183,20 +184,25 @@
 // Hold returns the moving average of how long a request holds its place.
 func (s *Shares) Hold() time.Duration { return s.hold }
 
-// workspace returns the state of a request's workspace with its current weight, and
-// creates it if there is none.
+// workspace returns the state of a request's workspace, and creates it with the request's
+// weight if there is none.
 func (s *Shares) workspace(r Request) *workspace {
 	w := s.workspaces[r.Workspace]
 	if w == nil {
-		w = &workspace{classes: make(map[int]*class)}
+		w = &workspace{weight: r.weight(), classes: make(map[int]*class)}
 		s.workspaces[r.Workspace] = w
 	}
-	if w.weight = r.Weight; !(w.weight > 0) {
-		w.weight = 1
-	}
 	return w
 }
 
+// weight returns the weight of the request's workspace.
+func (r Request) weight() float64 {
+	if r.Weight > 0 {
+		return r.Weight
+	}
+	return 1
+}
+
 // class returns the state of a priority, and creates it if there is none.
 func (w *workspace) class(priority int) *class {
 	c := w.classes[priority]
--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -173,3 +173,15 @@
 		p.shares.Ask(p.now.Add(time.Duration(i)*2*time.Millisecond), Request{Workspace: fmt.Sprint(i % 500)}, Capacity{Slots: 280})
 	}
 }
+
+// A weight that has changed must not fall back to its former value when a request that was
+// granted before the change ends.
+func TestReleaseKeepsNewestWeight(t *testing.T) {
+	s, now := New(), time.Unix(1000, 0)
+	former := Request{Workspace: "a", Weight: 1}
+	s.Ask(now, former, Capacity{Slots: 32, Free: 32})
+	s.Granted(former)
+	s.Ask(now, Request{Workspace: "a", Weight: 3}, Capacity{Slots: 32, Free: 31})
+	s.Released(former, time.Second)
+	require.InDelta(t, 3.0, s.workspaces["a"].weight, 0)
+}
