--- a/core/placement/ratelimit.go
+++ b/core/placement/ratelimit.go
@@ -248,9 +248,15 @@
 // position returns a number from 0 to 1 that differs between the processes, and for
 // one process between the targets. The caller holds the lock.
 func (t *Targets) position(id string) float64 {
+	return float64(t.sharerHash(id)) / math.MaxUint64
+}
+
+// sharerHash returns a hash of the names of this process and a target. The caller holds
+// the lock.
+func (t *Targets) sharerHash(id string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(t.limitSharer + "\x00" + id)) // never fails
-	return float64(h.Sum64()) / math.MaxUint64
+	return h.Sum64()
 }
 
 // underRateLimit reports whether a target's limit allows one more request. Batch
--- a/core/placement/room.go
+++ b/core/placement/room.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"hash/fnv"
 	"math"
 	"time"
 )
@@ -45,7 +44,7 @@
 	for _, r := range t.services[service] {
 		part := float64(slotsOf(r)+queue) / float64(max(1, processes))
 		allowed := int(part)
-		if t.spread(r.ID) < part-float64(allowed) {
+		if t.mixedPosition(r.ID) < part-float64(allowed) {
 			allowed++
 		}
 		if t.ownLoads[r.ID].Online >= allowed {
@@ -55,13 +54,11 @@
 	return used
 }
 
-// spread is position with its bits mixed: the names of processes and targets differ in
-// the last characters only, which FNV leaves in the lower bits. The caller holds the
-// lock.
-func (t *Targets) spread(id string) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(t.limitSharer + "\x00" + id)) // never fails
-	x := h.Sum64()
+// mixedPosition is position with the bits of the hash mixed: the names of processes and
+// targets may differ in their last characters only, of which FNV-1a leaves little in the
+// upper bits. The caller holds the lock.
+func (t *Targets) mixedPosition(id string) float64 {
+	x := t.sharerHash(id)
 	x = (x ^ x>>33) * 0xff51afd7ed558ccd // the finalizer of MurmurHash3
 	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
 	return float64(x^x>>33) / math.MaxUint64
