--- a/services/targetcall/limit.go
+++ b/services/targetcall/limit.go
@@ -10,8 +10,7 @@
 	"banyanwalk/core/roster"
 )
 
-// LimitObserver learns what targets say of themselves in their responses, such as their
-// rate limits.
+// LimitObserver learns the rate limits that targets name, and which targets leave.
 type LimitObserver interface {
 	LeavingObserver
 	// ObserveLimit is told the requests per second that the target takes from all
@@ -19,10 +18,16 @@
 	ObserveLimit(now time.Time, target *roster.Record, perSecond float64)
 }
 
-// observeLimit passes on the limit that a response names. Responses of another target
-// at the address and those that no target has signed tell nothing.
+// isFromTarget reports whether what a response says of its target counts. It does not if
+// another target at the address sent it, or if no target has signed it.
+func (c *Client) isFromTarget(resp *Response) bool {
+	signed := resp.Header.Get(c.headers.Signature) != "" || resp.Header.Get(c.headers.NotRun) != ""
+	return signed && resp.Status != http.StatusMisdirectedRequest
+}
+
+// observeLimit passes on the limit that a response names.
 func (c *Client) observeLimit(target *roster.Record, resp *Response) {
-	if resp.Status == http.StatusMisdirectedRequest || resp.Header.Get(c.headers.Signature) == "" && resp.Header.Get(c.headers.NotRun) == "" {
+	if !c.isFromTarget(resp) {
 		return
 	}
 	perSecond := 0.0
--- a/services/targetcall/load.go
+++ b/services/targetcall/load.go
@@ -1,7 +1,6 @@
 package targetcall
 
 import (
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -26,10 +25,10 @@
 	LoadObserver
 }
 
-// observeLoad passes on the load that a response names, as observeLimit does the limit.
+// observeLoad passes on the load that a response names.
 func (c *Client) observeLoad(target *roster.Record, resp *Response) {
 	value := resp.Header.Get(c.headers.Load)
-	if value == "" || resp.Status == http.StatusMisdirectedRequest || resp.Header.Get(c.headers.Signature) == "" && resp.Header.Get(c.headers.NotRun) == "" {
+	if value == "" || !c.isFromTarget(resp) {
 		return
 	}
 	load, ok := parseLoad(value)
