Avoid targets that answer with server errors

Ruled out: the backoff after broken connections, which a complete response ends. Gateways tell the broker with the release of a slot. Also: the gate's confirmation and the log of absurd sizes hold times of the steady clock, as TestTimeOfDayIsReadOnlyWhereListed demands.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -171,7 +171,7 @@
 
 func (t *Targets) inBackoff(now time.Time, id string) bool {
 	f := t.failures[id]
-	return f != nil && now.Before(f.until)
+	return f != nil && now.Before(f.until) || t.isEjected(now, id)
 }
 
 // BatchToPreempt returns, for each target with fewer than spare free slots, how
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -35,6 +35,7 @@
 	brokeredTokens map[brokerTarget]int64
 	peerLoads      map[string]Load
 	failures       map[string]*failureState
+	errors         map[string]*errorState // by target, of those that have answered with server errors
 	coldAllowances map[string]*bucket
 	reservations   map[string][]time.Time // expiry times of slots reserved against batch items
 	processes      int                    // number of processes that share the warmup rate of a cold target
@@ -66,6 +67,7 @@
 		brokeredTokens: make(map[brokerTarget]int64),
 		peerLoads:      make(map[string]Load),
 		failures:       make(map[string]*failureState),
+		errors:         make(map[string]*errorState),
 		coldAllowances: make(map[string]*bucket),
 		reservations:   make(map[string][]time.Time),
 		processes:      1,
@@ -92,6 +94,7 @@
 	for id, former := range t.byID {
 		if current := byID[id]; current == nil || current.Incarnation != former.Incarnation {
 			delete(t.failures, id)
+			delete(t.errors, id)
 			delete(t.coldAllowances, id)
 			delete(t.speeds, id)
 		}
--- a/core/rollout/gate.go
+++ b/core/rollout/gate.go
@@ -43,12 +43,10 @@
 
 // ServiceGate is the part of a Gate that belongs to one service with a rollout.
 type ServiceGate struct {
-	now     func() time.Time
-	short   chan<- struct{}
-	rollout atomic.Pointer[Rollout]
-	// confirmedTo is until when Finishing counts as current, in nanoseconds of the gate's
-	// clock.
-	confirmedTo atomic.Int64
+	now         func() time.Time
+	short       chan<- struct{}
+	rollout     atomic.Pointer[Rollout]
+	confirmedTo atomic.Pointer[time.Time] // until when Finishing counts as current
 
 	mu         sync.Mutex
 	grants     []heldGrant // sorted by expiry
@@ -100,7 +98,7 @@
 			s = &ServiceGate{now: g.now, short: g.short, askedAt: g.now(),
 				counts: make(map[string]map[string]*Evidence), references: make(map[string]*reference)}
 			s.rollout.Store(&r)
-			s.confirmedTo.Store(g.now().Add(finishingLease).UnixNano())
+			s.confirmFor(finishingLease)
 			next[r.Service] = s
 			continue
 		}
@@ -122,7 +120,7 @@
 		s.grants, s.held = nil, 0
 	}
 	if another || former.Phase != r.Phase {
-		s.confirmedTo.Store(s.now().Add(finishingLease).UnixNano())
+		s.confirmFor(finishingLease)
 	}
 	s.rollout.Store(r)
 }
@@ -134,17 +132,23 @@
 	if s == nil || s.rollout.Load().Version != version {
 		return
 	}
-	if at := until.UnixNano(); at > s.confirmedTo.Load() {
-		s.confirmedTo.Store(at)
+	if until.After(*s.confirmedTo.Load()) {
+		s.confirmedTo.Store(&until)
 	}
 }
 
+// confirmFor makes Finishing count as current for a time from now on.
+func (s *ServiceGate) confirmFor(d time.Duration) {
+	until := s.now().Add(d)
+	s.confirmedTo.Store(&until)
+}
+
 // Unconfirmed returns the new version if the requests should all go there, but the leader
 // has not confirmed that lately: the version may have been reverted since. The old
 // version is preferred then. After the end of its targets, the new one is used.
 func (s *ServiceGate) Unconfirmed() (version string, unconfirmed bool) {
 	r := s.rollout.Load()
-	return r.Version, r.Phase == Finishing && s.now().UnixNano() > s.confirmedTo.Load()
+	return r.Version, r.Phase == Finishing && s.now().After(*s.confirmedTo.Load())
 }
 
 // bars is Gate.Bars for one service.
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -345,6 +345,7 @@
 type SlotRelease struct {
 	IDs    []SlotID               `msgpack:"i"`
 	Failed []string               `msgpack:"f,omitempty"`
+	Errors []SlotID               `msgpack:"e,omitempty"` // of IDs: the target answered with a server error
 	Runs   []placement.RunReport  `msgpack:"r,omitempty"`
 	Loads  []placement.LoadReport `msgpack:"l,omitempty"`
 }
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -145,6 +145,7 @@
 		if err == nil {
 			f.noteAnswered()
 			f.timing.Plain(time.Now())
+			f.noteStatus(f.response.Status == http.StatusInternalServerError)
 			if f.shouldRetryStatus(f.response.Status) {
 				f.tried[f.target.ID] = true
 				f.releaseTarget()
@@ -230,6 +231,15 @@
 		"fill", fill, "sent_ms", ms(f.sentAfter), "first_ms", ms(f.headAfter), "after_ms", ms(elapsed), "error", failure)
 }
 
+// noteStatus records whether the target answered with a server error, for its next
+// requests.
+func (f *forwarding) noteStatus(serverError bool) {
+	f.slot.serverError = serverError
+	if f.server.follower.Targets.Responded(time.Now(), f.target.ID, serverError) {
+		f.server.log.Info("target_avoided", "target", f.target.ID, "reason", "it answers with server errors")
+	}
+}
+
 // noteRun records how fast the target was, for its next requests.
 func (f *forwarding) noteRun() {
 	if f.target == nil || f.response == nil {
--- a/services/entry/sizes.go
+++ b/services/entry/sizes.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"banyanwalk/core/placement"
@@ -14,7 +14,8 @@
 
 // absurdSizes logs requests whose size counts as nothing because it cannot be true.
 type absurdSizes struct {
-	loggedAt atomic.Int64 // Unix nanoseconds
+	mu       sync.Mutex
+	loggedAt time.Time
 }
 
 // check logs a request whose size counts as nothing, once each absurdSizeLogInterval.
@@ -22,8 +23,12 @@
 	if !q.IsAbsurd() {
 		return
 	}
-	now, last := time.Now().UnixNano(), a.loggedAt.Load()
-	if now-last >= int64(absurdSizeLogInterval) && a.loggedAt.CompareAndSwap(last, now) {
-		log.Warn("request_size_absurd", "request", c.id, "workspace", c.workspaceName(), "tokens", q.Tokens, "target_tokens", q.Memory)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if !a.loggedAt.IsZero() && now.Sub(a.loggedAt) < absurdSizeLogInterval {
+		return
 	}
+	a.loggedAt = now
+	log.Warn("request_size_absurd", "request", c.id, "workspace", c.workspaceName(), "tokens", q.Tokens, "target_tokens", q.Memory)
 }
--- a/services/entry/slots.go
+++ b/services/entry/slots.go
@@ -48,6 +48,7 @@
 	failedTarget string                // target that failed or broke the connection; empty: none
 	run          *placement.RunReport  // what was seen of the target; nil: nothing
 	load         *placement.LoadReport // what a target said; nil: nothing
+	serverError  bool                  // the target answered with a server error
 }
 
 // slot is capacity for one request at a target.
@@ -63,6 +64,7 @@
 	tokens          int64                // that the target holds
 	expectedPace    int                  // of the target, as the broker expects it, percent; 0: unknown
 	run             *placement.RunReport // what was seen of the target; nil: nothing
+	serverError     bool                 // the target answered with a server error
 }
 
 func newSlots(f *follow.Follower, jobs *jobClient) *slots {
@@ -184,7 +186,7 @@
 // deadline of its request.
 func (s *slots) queueRelease(used *slot, failedTarget string) {
 	select {
-	case s.releases <- release{broker: used.broker.ID, id: used.id, failedTarget: failedTarget, run: used.run}:
+	case s.releases <- release{broker: used.broker.ID, id: used.id, failedTarget: failedTarget, run: used.run, serverError: used.serverError}:
 	default:
 	}
 }
@@ -209,6 +211,9 @@
 		return
 	}
 	message.IDs = append(message.IDs, r.id)
+	if r.serverError {
+		message.Errors = append(message.Errors, r.id)
+	}
 	if r.failedTarget != "" {
 		message.Failed = append(message.Failed, r.failedTarget)
 	}
--- a/services/entry/stream.go
+++ b/services/entry/stream.go
@@ -92,6 +92,7 @@
 			return event, nil
 		case errors.Is(err, io.EOF):
 			r.f.noteEnd(nil)
+			r.f.noteStatus(false)
 			r.f.logFinished(nil)
 			return nil, io.EOF
 		}
--- a/services/jobhost/broker.go
+++ b/services/jobhost/broker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,7 @@
 	id      atomic.Uint64 // id of this broker, one per term; 0: this host does not lead
 	granted metrics.Counter
 	refused metrics.Counter
+	ejected metrics.Counter // targets that were avoided for a time because they answered with server errors
 	runs    metrics.Counter // reported by gateways
 	loads   metrics.Counter
 
@@ -67,6 +69,7 @@
 		runner:  r,
 		granted: metrics.GetOrRegisterCounter("broker.slots.granted", s.cfg.Metrics),
 		refused: metrics.GetOrRegisterCounter("broker.slots.refused", s.cfg.Metrics),
+		ejected: metrics.GetOrRegisterCounter("broker.targets.avoided", s.cfg.Metrics),
 		runs:    metrics.GetOrRegisterCounter("broker.runs.reported", s.cfg.Metrics),
 		loads:   metrics.GetOrRegisterCounter("broker.loads.reported", s.cfg.Metrics),
 		grants:  make(map[rpc.SlotID]grant),
@@ -263,6 +266,14 @@
 	return b.releaseAt(time.Now(), r)
 }
 
+// noteResponse records how a request at a target ended.
+func (b *broker) noteResponse(now time.Time, target string, serverError bool) {
+	if b.targets.Responded(now, target, serverError) {
+		b.ejected.Inc(1)
+		b.server.log.Info("target_avoided", "target", target, "reason", "it answers with server errors")
+	}
+}
+
 func (b *broker) releaseAt(now time.Time, r *rpc.SlotRelease) (*rpc.Ack, error) {
 	for _, target := range r.Failed {
 		b.targets.Failed(now, target)
@@ -282,6 +293,7 @@
 	for _, id := range r.IDs {
 		held := time.Duration(0)
 		if g, found := b.grants[id]; found {
+			b.noteResponse(now, g.target, slices.Contains(r.Errors, id))
 			if held = now.Sub(g.since); b.returns[g.service] != nil {
 				b.returns[g.service].Observe(held)
 			}
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -73,6 +73,7 @@
 	switch {
 	case err == nil:
 		i.completed = true
+		r.server.broker.noteResponse(time.Now(), i.target.ID, false)
 		r.trials.completed(i.parts)
 		r.follower.Targets.Succeeded(i.target.ID)
 		if run := i.timing.Report(i.target, i.fill, i.pacePercent); run != nil {
@@ -98,6 +99,7 @@
 // one.
 func (i *itemRun) recordFailure() {
 	r := i.runner
+	r.server.broker.noteResponse(time.Now(), i.target.ID, true)
 	i.progress.attempts++
 	if max(i.progress.attempts, i.loggedFailures+1) >= i.maxAttempts {
 		r.abandon(i.ref, "all attempts failed")
