Requests wait a little for their gateway's part of the workspace's tokens

Change: if tokens are left and only the gateway's part is spent, the request waits up to 150 ms for the oldest of its tokens to count no more, or is told that time.

--- a/core/quota/bounded.go
+++ b/core/quota/bounded.go
@@ -362,6 +362,27 @@
 	return 0, true
 }
 
+// FreesIn returns the time after which this gateway may spend one more token of a
+// workspace, if tokens are left and only its own part of them is spent.
+func (b *Buckets) FreesIn(now time.Time, workspace string) (wait time.Duration, partOnly bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.bounded == nil {
+		return 0, false
+	}
+	held := b.bounded.buckets[workspace]
+	if held == nil || held.level < 1 || !held.isolatedAt.IsZero() {
+		return 0, false
+	}
+	held.advance(b.bounded.slot(now))
+	for age := int64(spentSlots) - 1; age >= 0; age-- {
+		if held.recentAt >= age && held.recent[(held.recentAt-age)%spentSlots] > 0 {
+			return time.Duration(spentSlots-age) * (ownWindow / spentSlots), true
+		}
+	}
+	return 0, false // nothing is spent, the part is less than one token
+}
+
 // requestReport asks for a report before the next regular one.
 func (s *bounded) requestReport(now time.Time) {
 	if now.Sub(s.reportAt) >= reportAge/8 {
--- a/core/quota/bounded_test.go
+++ b/core/quota/bounded_test.go
@@ -286,6 +286,41 @@
 	})
 }
 
+// Guards against refusing, or telling too late a time to return, a caller of a workspace
+// that has tokens left, for which its gateway only has spent its part.
+func TestPartOfGatewayIsFreeInTime(t *testing.T) {
+	b := New()
+	b.SetBounds(start, testBounds, 1)
+	rate := Rate{PerSecond: 5, Burst: 5}
+	now := start
+	report := func() { b.ApplyPeers(now, PeerReport{Source: "c", Primary: true, Live: 21}) }
+	b.SetRates(now, map[string]Rate{"w": rate})
+	report()
+	taken := 0
+	for {
+		if _, ok := b.Take(now, "w", rate); !ok {
+			break
+		}
+		taken++
+	}
+	require.Positive(t, taken)
+	require.Less(t, taken, 5, "the part, not the level")
+	wait, partOnly := b.FreesIn(now, "w")
+	require.True(t, partOnly)
+	assert.LessOrEqual(t, wait, ownWindow)
+	now = now.Add(wait)
+	report()
+	_, ok := b.Take(now, "w", rate)
+	assert.True(t, ok)
+	for range 40 {
+		now = now.Add(100 * time.Millisecond)
+		b.ApplyPeers(now, PeerReport{Source: "c", Primary: true, Live: 21, Spent: map[string]uint64{"w": 1000}})
+		b.Take(now, "w", rate)
+	}
+	_, partOnly = b.FreesIn(now, "w")
+	assert.False(t, partOnly, "the workspace is over its limit")
+}
+
 // withinLimit is a load that stays within the limit of a workspace.
 type withinLimit struct {
 	rate   Rate
--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -21,6 +21,9 @@
 	// retryMargin is how much less time than the route's timeout a request must have
 	// left on arrival for it to count as a retry.
 	retryMargin = 50 * time.Millisecond
+	// maxPartWait is how long a request waits for this gateway's part of its workspace's
+	// tokens. It is half of the shortest usual latency objective of streams.
+	maxPartWait = 150 * time.Millisecond
 	// minRetryAfter is the shortest Retry-After of a refusal.
 	minRetryAfter = 10 * time.Millisecond
 )
@@ -83,7 +86,7 @@
 		s.serveJob(ctx, c)
 		return
 	}
-	if wait, ok := s.takeToken(c); !ok {
+	if wait, ok := s.awaitToken(c); !ok {
 		s.refuse(ctx, c, outcome.New(outcome.RateLimited, outcome.NotRun, "over the rate of the workspace").WithRetryAfter(wait))
 		return
 	}
@@ -190,6 +193,24 @@
 	return c.started.Add(limit)
 }
 
+// awaitToken takes a token from the workspace's bucket. If the workspace has tokens left
+// and only this gateway's part of them is spent, the request waits a little for it.
+func (s *Server) awaitToken(c *call) (wait time.Duration, ok bool) {
+	wait, ok = s.takeToken(c)
+	if ok || c.workspace == nil {
+		return wait, ok
+	}
+	frees, partOnly := s.follower.Buckets.FreesIn(s.follower.QuotaNow(), c.workspace.Name)
+	if !partOnly {
+		return wait, false
+	}
+	if frees > maxPartWait {
+		return frees, false
+	}
+	time.Sleep(frees)
+	return s.takeToken(c)
+}
+
 // takeToken takes a token from the workspace's bucket.
 func (s *Server) takeToken(c *call) (wait time.Duration, ok bool) {
 	if c.workspace == nil {
