core/quota: early reports only below half of the burst

Cause: a gateway reported at once whenever half of its part was spent, which for small workspaces is nearly every request, to all control hosts; parts of all gateways stay within the bound without that. Change: it reports early only while the level is below half of the burst, or when it refuses.

--- a/core/quota/bounded.go
+++ b/core/quota/bounded.go
@@ -348,7 +348,7 @@
 		return s.returnAfter(now, held), false
 	}
 	if held.isolatedAt.IsZero() {
-		if allowed <= held.recentSpent(s.slot(now)) { // half of the part is spent
+		if held.level < rate.Burst/2 && allowed <= held.recentSpent(s.slot(now)) { // half of the part is spent
 			s.requestReport(now)
 		}
 	} else {
