--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -21,9 +21,9 @@
 	// retryMargin is how much less time than the route's timeout a request must have
 	// left on arrival for it to count as a retry.
 	retryMargin = 50 * time.Millisecond
-	// maxPartWait is how long a request waits for this gateway's part of its workspace's
-	// tokens. It is half of the shortest usual latency objective of streams.
-	maxPartWait = 150 * time.Millisecond
+	// partWaitDivisor is the part of its route's latency objective, as a divisor, that a
+	// request waits at most for this gateway's part of its workspace's tokens.
+	partWaitDivisor = 2
 	// minRetryAfter is the shortest Retry-After of a refusal.
 	minRetryAfter = 10 * time.Millisecond
 )
@@ -204,7 +204,7 @@
 	if !partOnly {
 		return wait, false
 	}
-	if frees > maxPartWait {
+	if frees > c.route.Objective/partWaitDivisor {
 		return frees, false
 	}
 	time.Sleep(frees)
