director: one function for brokered requests and their tokens

Cause: brokeredTokens repeated the condition of brokered. Change: brokered returns both. Behaviour is the same.

--- a/services/director/sums.go
+++ b/services/director/sums.go
@@ -90,30 +90,24 @@
 			total := sums.loads[id]
 			total.Online += at.Online
 			total.Batch += at.Batch
-			total.Brokered += brokered(&m.load, sums.brokerID, at)
+			requests, tokens := brokered(&m.load, sums.brokerID, at)
+			total.Brokered += requests
 			total.Tokens += at.Tokens
 			total.BatchTokens += at.BatchTokens
-			total.BrokeredTokens += brokeredTokens(&m.load, sums.brokerID, at)
+			total.BrokeredTokens += tokens
 			sums.loads[id] = total
 		}
 	}
 	r.sums = sums
 }
 
-// brokered returns how many requests of a load were placed by the given broker.
-func brokered(load *rpc.MemberLoad, brokerID uint64, at placement.Load) int {
+// brokered returns how many requests of a load were placed by the given broker, and
+// their tokens.
+func brokered(load *rpc.MemberLoad, brokerID uint64, at placement.Load) (requests int, tokens int64) {
 	if load.BrokerID != brokerID {
-		return 0
+		return 0, 0
 	}
-	return at.Brokered
-}
-
-// brokeredTokens is brokered for the tokens of these requests.
-func brokeredTokens(load *rpc.MemberLoad, brokerID uint64, at placement.Load) int64 {
-	if load.BrokerID != brokerID {
-		return 0
-	}
-	return at.BrokeredTokens
+	return at.Brokered, at.BrokeredTokens
 }
 
 // subtractLoads takes the load of one member off a sum that includes it.
@@ -122,10 +116,11 @@
 		total := sum.Loads[id]
 		total.Online -= at.Online
 		total.Batch -= at.Batch
-		total.Brokered -= brokered(own, sum.BrokerID, at)
+		requests, tokens := brokered(own, sum.BrokerID, at)
+		total.Brokered -= requests
 		total.Tokens -= at.Tokens
 		total.BatchTokens -= at.BatchTokens
-		total.BrokeredTokens -= brokeredTokens(own, sum.BrokerID, at)
+		total.BrokeredTokens -= tokens
 		if total == (placement.Load{}) {
 			delete(sum.Loads, id)
 			continue
