entry: a refusal for lack of a token says which of its causes it has

Cause: the log line and the counter of a 429 are the same for a workspace over its limit, a gateway whose part is too small, and a gateway without reports. Change: quota.Standing tells the level, the gateways that share it and the age of the last report; the reason of the refusal names them, and entry.quota.refused.* counts the causes.

--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -87,7 +87,7 @@
 		return
 	}
 	if wait, ok := s.awaitToken(c); !ok {
-		s.refuse(ctx, c, outcome.New(outcome.RateLimited, outcome.NotRun, "over the rate of the workspace").WithRetryAfter(wait))
+		s.refuse(ctx, c, s.rateLimited(c).WithRetryAfter(wait))
 		return
 	}
 	s.forward(ctx, c)
@@ -211,6 +211,18 @@
 	return s.takeToken(c)
 }
 
+// rateLimited returns the refusal of a request for which there is no token, and counts its
+// cause.
+func (s *Server) rateLimited(c *call) *outcome.Error {
+	standing, known := s.follower.Buckets.Standing(s.follower.QuotaNow(), c.workspaceName())
+	if !known {
+		return outcome.New(outcome.RateLimited, outcome.NotRun, "over the rate of the workspace")
+	}
+	s.metrics.rateLimited(standing.Cause())
+	return outcome.New(outcome.RateLimited, outcome.NotRun, "no token at this gateway, %s: level %.1f, rate %g, burst %g, %d gateways, %d of them silent, last report %d ms ago",
+		standing.Cause(), standing.Level, c.workspace.RatePerSecond, c.workspace.Burst, standing.Gateways, standing.Silent, ms(standing.ReportAge))
+}
+
 // takeToken takes a token from the workspace's bucket.
 func (s *Server) takeToken(c *call) (wait time.Duration, ok bool) {
 	if c.workspace == nil {
--- a/services/entry/meters.go
+++ b/services/entry/meters.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"banyanwalk/core/outcome"
+	"banyanwalk/core/quota"
 	"banyanwalk/core/routing"
 	"banyanwalk/infra/telemetry"
 )
@@ -64,4 +65,9 @@
 	metrics.GetOrRegisterCounter("entry.refused."+code.Name(), m.registry).Inc(1)
 }
 
+// rateLimited counts a refusal for lack of a token by its cause.
+func (m *requestMetrics) rateLimited(cause quota.Cause) {
+	metrics.GetOrRegisterCounter("entry.quota.refused."+cause.String(), m.registry).Inc(1)
+}
+
 func ms(d time.Duration) int64 { return d.Milliseconds() }
