core/quota: test both bounds of a limit at 2, 21, 89 and 300 gateways

Change: one test for each number of gateways has callers within the limit (at most 1 in 100 refused) and a flood after it (the bound of the limit holds), spread and at one gateway, with gateways frozen, cut off and new.

--- a/core/quota/bounded_test.go
+++ b/core/quota/bounded_test.go
@@ -24,6 +24,7 @@
 	demand         func(ms int) float64
 	pick           func(r *rand.Rand, ms int) int // gateway of a request
 	conform        bool                           // only requests within rate and burst are sent
+	floodFrom      int                            // ms from which on all requests are sent, and none counts as offered; 0: never
 	duration       int                            // ms
 	frozen         map[int][2]int                 // from and until, ms, by gateway
 	silent         map[int][2]int
@@ -38,6 +39,17 @@
 	returnTimes    map[time.Duration]int
 }
 
+// bucketSpent is Spent of one workspace.
+func (b *Buckets) bucketSpent(workspace string) uint64 {
+	if b.bounded == nil {
+		return b.Spent()[workspace]
+	}
+	if held := b.bounded.buckets[workspace]; held != nil {
+		return held.spent
+	}
+	return 0
+}
+
 func within(ms int, span [2]int) bool { return ms >= span[0] && ms < span[1] }
 
 func (f *fleet) rateAt(ms int) Rate {
@@ -60,8 +72,10 @@
 func (f *fleet) run() {
 	r := rand.New(rand.NewPCG(f.seed, 1))
 	all := make([]*Buckets, f.gateways)
-	reported := make([][]uint64, f.gateways) // by gateway and ms: total that control hosts know
-	heardAt := make([][]int, f.gateways)     // by gateway and ms
+	reported := make([][]uint64, f.gateways) // by gateway and 10 ms: total that control hosts know
+	heardAt := make([][]int, f.gateways)     // by gateway and 10 ms
+	var totals []uint64                      // of reported, by 10 ms
+	var live []int                           // gateways heard of within 0.8 s, by 10 ms
 	phase := make([]int, f.gateways)
 	for g := range all {
 		phase[g] = r.IntN(200)
@@ -80,15 +94,22 @@
 					all[g].SetRates(now, map[string]Rate{"w": rate})
 				}
 			}
+			if ms%10 > 0 {
+				continue
+			}
 			known, heard := uint64(0), -1
 			if ms > 0 {
-				known, heard = reported[g][ms-1], heardAt[g][ms-1]
+				known, heard = reported[g][ms/10-1], heardAt[g][ms/10-1]
 			}
-			if ms%10 == 0 && f.connected(g, ms) {
-				known, heard = all[g].Spent()["w"], ms
+			if f.connected(g, ms) {
+				known, heard = all[g].bucketSpent("w"), ms
 			}
 			reported[g], heardAt[g] = append(reported[g], known), append(heardAt[g], heard)
 		}
+		if ms%10 == 0 {
+			total, count := sumReports(reported, heardAt, ms)
+			totals, live = append(totals, total), append(live, count)
+		}
 		if ms%100 == 0 {
 			debts = append(debts, all[0].Debts(now))
 		}
@@ -97,48 +118,68 @@
 				if ms >= 400 {
 					all[g].ApplyInitialDebts(debts[(ms-400)/100])
 				}
-				f.report(r, all[g], g, ms, reported, heardAt)
+				f.report(r, all[g], g, ms, &history{reported, heardAt, totals, live})
 			}
 		}
 		count := 0
 		oracle = min(rate.Burst, oracle+rate.PerSecond/1000)
 		for owed += f.demand(ms) / 1000 * 2 * r.Float64(); owed >= 1; owed-- {
 			g := f.pick(r, ms)
-			if !f.runs(g, ms) || f.conform && oracle < 1 {
+			flooded := f.floodFrom > 0 && ms >= f.floodFrom
+			if !f.runs(g, ms) || f.conform && !flooded && oracle < 1 {
 				continue
 			}
 			oracle--
-			f.offered++
 			wait, ok := all[g].Take(now, "w", rate)
-			if !ok {
+			if !flooded {
+				f.offered++
+			}
+			if !ok && !flooded {
 				f.refused++
 				if ms < 2000 {
 					f.refusedAtStart++
 				}
 				f.returnTimes[wait]++
-				continue
 			}
-			count++
+			if ok {
+				count++
+			}
 		}
 		f.admittedAtMS = append(f.admittedAtMS, count)
 	}
 }
 
+// history is what control hosts have learned of the gateways.
+type history struct {
+	reported [][]uint64
+	heardAt  [][]int
+	totals   []uint64
+	live     []int
+}
+
+// sumReports returns the sum of the newest reports and the number of gateways that were
+// heard of lately.
+func sumReports(reported [][]uint64, heardAt [][]int, ms int) (total uint64, live int) {
+	for g := range reported {
+		at := heardAt[g][len(heardAt[g])-1]
+		total += reported[g][len(reported[g])-1]
+		if at >= 0 && at >= ms-800 {
+			live++
+		}
+	}
+	return total, live
+}
+
 // report tells one gateway what the control hosts knew 200 ms ago.
-func (f *fleet) report(r *rand.Rand, to *Buckets, g, ms int, reported [][]uint64, heardAt [][]int) {
+func (f *fleet) report(r *rand.Rand, to *Buckets, g, ms int, known *history) {
 	at := ms - 200
 	if at < 0 || r.Float64() < f.lostReports {
 		return
 	}
-	total, live := uint64(0), 1
-	for other := range reported {
-		if other == g || heardAt[other][at] < 0 {
-			continue
-		}
-		total += reported[other][at]
-		if heardAt[other][at] >= at-800 {
-			live++
-		}
+	tick := at / 10
+	total, live := known.totals[tick]-known.reported[g][tick], known.live[tick]
+	if own := known.heardAt[g][tick]; own < 0 || own < tick*10-800 {
+		live++
 	}
 	now := start.Add(time.Duration(ms) * time.Millisecond)
 	firstUp := !within(ms, f.controlLost)
