core/quota: gateways ask a broker when their own part of a limit is empty

Cause: what a workspace may spend was divided between all gateways, one token each first. With 89 gateways a workspace of 5 a second has 0.3 tokens for each, while its callers come to all of them. Class: a design whose parts shrink with the fleet. Ruled out by the causes in the log (19,821 of 19,964 part_spent, none limit_reached, 143 isolated): load beyond the limits, isolation, silent gateways. Change: each workspace has a broker and a deputy among the voting storage hosts but the leader. Both have a fixed part of what may be spent and report it like a gateway, so the bound needs no further argument; a gateway without a token of its own asks. Silent gateways are left their equal part in place of one token each, and a gateway's own use raises its part more slowly, which had exceeded the bound with two gateways. Measured: TestBothBounds at 2, 21, 89 and 300 gateways failed before and passes; TestCallersOfSmallWorkspacesNearLimitAreServed passes, too.

--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -116,12 +116,16 @@
 	config.Storage = storage
 	config.Broker = broker
 	config.AcceptEarly = role == rpc.RoleGateway
-	if bounds := p.Settings.Quota; role == rpc.RoleGateway && bounds.Window > 0 {
+	if bounds := p.Settings.Quota; spendsTokens(role) && bounds.Window > 0 {
 		config.Quota = &quota.Bounds{Window: bounds.Window, Overage: bounds.Overage, Slack: bounds.Slack}
 	}
 	return follow.New(config)
 }
 
+// spendsTokens reports whether processes of a role spend tokens of workspaces: gateways do,
+// and the broker on a storage host.
+func spendsTokens(role string) bool { return role == rpc.RoleGateway || role == rpc.RoleStorage }
+
 // FollowerConfig returns the follower configuration that all roles share.
 func (p *Process) FollowerConfig(member rpc.Member) follow.Config {
 	return follow.Config{
--- a/core/quota/bounded.go
+++ b/core/quota/bounded.go
@@ -23,14 +23,17 @@
 	// gatewaysRetention is how long a gateway that is not heard of keeps its part of the
 	// rates: it may be partitioned and still serve.
 	gatewaysRetention = 10 * time.Minute
-	// assumedGateways is the number of gateways until the first report.
-	assumedGateways = 64
+	// assumedGateways is the number of gateways until the first report. It is large, as many
+	// gateways may start at once.
+	assumedGateways = 512
 	// equalWeight is the weight of the equal parts of the level; the rest is divided by
 	// recent use. A small weight lets all callers of a workspace use one gateway.
 	equalWeight = 0.3
-	// usePrior is how many requests, spread equally, count as use in addition, so that
-	// the parts of a workspace with few requests don't jump.
-	usePrior = 2.0
+	// usePrior is how many requests, spread equally, count as use in addition. Use by the
+	// others is known later than a gateway's own: in a flood each gateway sees its own part
+	// grow first, and the sum of the parts exceeds one. With 2 requests, two gateways exceeded the
+	// bound of a workspace of 5 a second by 3.
+	usePrior = 20.0
 	// overageUse is the part of the overage that is spent on purpose. The rest covers
 	// what gateways spend unknown to each other while their parts change.
 	overageUse = 0.85
@@ -71,13 +74,14 @@
 // bounded is the state that all workspaces share.
 type bounded struct {
 	bounds     Bounds
+	role       role
 	salt       uint64 // differs between the gateways
 	startedAt  time.Time
 	reportedAt time.Time
 	heard      bool // a primary has reported
 	gateways   int  // that share the rates; including silent ones
 	gatewaysAt time.Time
-	silent     int // of them
+	silent     int // of them, not heard of
 	sources    map[string]bool
 	buckets    map[string]*boundedBucket
 	spends     uint64 // number of tokens spent
@@ -87,12 +91,13 @@
 
 // boundedBucket is this gateway's view of one workspace's bucket.
 type boundedBucket struct {
-	rate     Rate
-	level    float64 // as far as this gateway knows; negative: debt
-	filledAt time.Time
-	overflow float64 // tokens that did not fit the burst since the last report
-	reserved float64 // tokens left for silent gateways
-	spent    uint64  // by this process since its start
+	workspace string
+	rate      Rate
+	level     float64 // as far as this gateway knows; negative: debt
+	filledAt  time.Time
+	overflow  float64 // tokens that did not fit the burst since the last report
+	reserved  float64 // tokens left for silent gateways
+	spent     uint64  // by this process since its start
 
 	others  int64            // spent by other gateways since this process started
 	offsets map[string]int64 // others minus the reported total, by source
@@ -102,12 +107,23 @@
 
 	ownUse, othersUse float64 // decaying counts
 	usedAt            time.Time
-	newOwn            uint64 // spent when ownUse was last updated
+	newOwn            uint64 // spent and granted when ownUse was last updated
 	newOthers         int64
 
-	isolatedAt time.Time // zero: not isolated
-	isolated   float64   // tokens of the own part of the rate
-	nextReturn time.Time
+	brokerPart float64 // of this process, if it is a broker
+
+	granted   uint64    // tokens that a broker granted to this process since its start
+	kept      int       // of them, not used
+	keptUntil time.Time // when they expire
+	askAfter  time.Time // the broker is not asked until then
+
+	isolated       bool
+	isolatedLeft   float64   // tokens of the own part of burst and rate
+	isolatedAt     time.Time // when they were filled up
+	claim          float64   // tokens to be added at claimAt
+	claimAt        time.Time
+	isolatedPeriod int64 // for which they were drawn, with parts below one token
+	nextReturn     time.Time
 }
 
 // SetBounds makes the buckets keep to bounds over all gateways together. The salt must
@@ -158,7 +174,7 @@
 		if report.Primary {
 			held.overflow = 0
 			held.updateUse(now)
-			held.isolatedAt = time.Time{}
+			held.isolated = false
 		}
 	}
 	s.sources[report.Source] = true
@@ -201,29 +217,42 @@
 }
 
 // updateUse updates the use of this and of the other gateways. What this gateway has
-// spent counts one report later, as for the others.
+// spent counts one report later, as for the others. Tokens that a broker granted are
+// reported as the broker's spending, but are use of the gateway that asked.
 func (h *boundedBucket) updateUse(now time.Time) {
 	decay := math.Exp(-now.Sub(h.usedAt).Seconds() / useTimeConstant.Seconds())
 	h.ownUse *= decay
 	h.othersUse *= decay
 	h.usedAt = now
-	h.ownUse += float64(max(h.spent, h.newOwn) - h.newOwn)
-	h.othersUse += float64(h.others - h.newOthers)
-	h.newOwn, h.newOthers = h.spent, h.others
+	own := h.spent + h.granted
+	h.ownUse += float64(max(own, h.newOwn) - h.newOwn)
+	h.newOwn = own
+	if others := h.others - int64(h.granted); others > h.newOthers { //nolint:gosec // a count of requests
+		h.othersUse += float64(others - h.newOthers)
+		h.newOthers = others
+	}
 }
 
-// part returns this gateway's part of the level.
+// part returns this gateway's part of the use, of 1.
 func (s *bounded) part(h *boundedBucket) float64 {
-	equal := 1 / float64(s.gateways)
+	equal := 1 / float64(s.liveGateways())
 	use := (h.ownUse + usePrior*equal) / (h.ownUse + h.othersUse + usePrior)
 	return equalWeight*equal + (1-equalWeight)*use
 }
 
+// liveGateways returns the number of gateways that are heard of, including this one.
+func (s *bounded) liveGateways() int { return max(1, s.gateways-s.silent) }
+
+// silentClaim returns the tokens of level and extra that are left for silent gateways.
+func (s *bounded) silentClaim(h *boundedBucket) float64 {
+	return float64(s.silent) / float64(s.gateways) * (h.rate.Burst + s.bounds.extra(h.rate))
+}
+
 // bucket returns the bucket of a workspace with the given rate.
 func (s *bounded) bucket(now time.Time, workspace string, rate Rate, debts map[string]float64) *boundedBucket {
 	held := s.buckets[workspace]
 	if held == nil {
-		held = &boundedBucket{rate: rate, level: rate.Burst - debts[workspace], filledAt: now, usedAt: now, offsets: make(map[string]int64)}
+		held = &boundedBucket{workspace: workspace, rate: rate, level: rate.Burst - debts[workspace], filledAt: now, usedAt: now, offsets: make(map[string]int64)}
 		s.buckets[workspace] = held
 		return held
 	}
@@ -237,18 +266,11 @@
 
 // refill adds the tokens that have become due.
 func (s *bounded) refill(now time.Time, h *boundedBucket) {
-	if limit := s.reportedAt.Add(isolatedAfter); h.isolatedAt.IsZero() && !now.Before(limit) {
-		s.fill(limit, h)
-		h.isolatedAt = limit
-		h.isolated = max(0, min(s.isolatedBurst(h), s.allowance(limit, "", h)))
-		if !s.heard {
-			h.isolatedAt, h.isolated = now, 1
-		}
+	if limit := s.reportedAt.Add(isolatedAfter); !h.isolated && !now.Before(limit) {
+		s.isolate(limit, h)
 	}
-	if !h.isolatedAt.IsZero() {
-		elapsed := max(0, now.Sub(h.isolatedAt)).Seconds()
-		h.isolated = min(s.isolatedBurst(h), h.isolated+elapsed*h.rate.PerSecond/float64(s.gateways))
-		h.isolatedAt = now
+	if h.isolated {
+		s.refillIsolated(now, h)
 	}
 	s.fill(now, h)
 }
@@ -269,43 +291,55 @@
 	}
 }
 
-// isolatedBurst returns the burst of this gateway's equal part, at least one token.
-func (s *bounded) isolatedBurst(h *boundedBucket) float64 {
-	return max(1, h.rate.Burst/float64(s.gateways))
-}
-
-// allowance returns how many more tokens this gateway may spend now.
-//
-// What all may spend until they know of each other's spending is the level plus the
-// extra. The first tokens of it are divided one to each gateway, because small
-// workspaces have no more, the rest by part. A fraction of a token is rounded at
+// allowance returns how many more tokens this process may spend now. With a broker, a
+// gateway asks for what is less than one token. Without, a fraction of a token is rounded at
 // random, so that parts below one token add up as well.
-func (s *bounded) allowance(now time.Time, workspace string, h *boundedBucket) float64 {
+func (s *bounded) allowance(now time.Time, h *boundedBucket) float64 {
 	own := h.recentSpent(s.slot(now))
-	available := h.level + own + s.bounds.extra(h.rate) - float64(s.silent)*s.isolatedBurst(h)
-	if available <= 0 {
-		return 0
+	share := s.share(own, h)
+	if share <= 0 || s.role != noBroker {
+		return math.Floor(share) - own
 	}
-	gateways := float64(s.gateways)
-	share := min(available, gateways)/gateways + max(0, available-gateways)*s.part(h)
 	chance := roundUpChance
 	if share < 1 {
 		chance = smallRoundUpChance
 	}
-	return math.Floor(share+chance*s.random(now, workspace)) - own
+	return math.Floor(share+chance*s.random(int64(now.Sub(s.startedAt)/ownWindow), h)) - own
 }
 
-// random returns a number from 0 to 1 that stays the same for one ownWindow and differs
-// between gateways and workspaces.
-func (s *bounded) random(now time.Time, workspace string) float64 {
+// share returns this process's part of what all may spend until they know of each other's
+// spending, including what it has spent within ownWindow: of the level and the extra, less
+// what is left for silent gateways. With a broker, brokers have fixed parts and
+// gateways divide the rest. Without, the first tokens are divided one to each gateway, because small
+// workspaces have no more, the rest by part.
+func (s *bounded) share(own float64, h *boundedBucket) float64 {
+	available := max(0, h.level+own+s.bounds.extra(h.rate)-s.silentClaim(h))
+	switch s.role {
+	case isBroker:
+		return available * h.brokerPart
+	case hasBroker:
+		return available * gatewaysPart * s.part(h)
+	case noBroker:
+	}
+	gateways := float64(s.liveGateways())
+	return min(available, gateways)/gateways + max(0, available-gateways)*s.part(h)
+}
+
+// random returns a number from 0 to 1 that depends on n and differs between gateways and
+// workspaces.
+func (s *bounded) random(n int64, bucket *boundedBucket) float64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(workspace)) // never fails
-	_, _ = h.Write(strconv.AppendInt(nil, int64(now.Sub(s.startedAt)/ownWindow), 10))
-	x := (h.Sum64() ^ s.salt) * 0x9e3779b97f4a7c15 // spreads similar inputs (Fibonacci hashing)
+	_, _ = h.Write([]byte(bucket.workspace)) // never fails
+	_, _ = h.Write(strconv.AppendInt(nil, n, 10))
+	return float64(mix(h.Sum64()^s.salt)>>11) / (1 << 53)
+}
+
+// mix spreads similar inputs over all bits.
+func mix(x uint64) uint64 {
+	x *= 0x9e3779b97f4a7c15 // Fibonacci hashing
 	x ^= x >> 32
 	x *= 0xd6e8feb86659fd93
-	x ^= x >> 32
-	return float64(x>>11) / (1 << 53)
+	return x ^ x>>32
 }
 
 // slot returns the number of the entry of recent for now.
@@ -337,22 +371,20 @@
 	s := b.bounded
 	held := s.bucket(now, workspace, rate, b.initialDebts)
 	s.refill(now, held)
-	allowed := held.isolated
-	if held.isolatedAt.IsZero() {
-		allowed = s.allowance(now, workspace, held)
-	} else {
-		allowed = min(allowed, held.level+s.bounds.extra(rate))
+	if held.takeKept(now) {
+		return 0, true
 	}
+	allowed := s.allowed(now, held)
 	if allowed < 1 {
-		s.requestReport(now)
-		return s.returnAfter(now, held), false
-	}
-	if held.isolatedAt.IsZero() {
-		if held.level < rate.Burst/2 && allowed <= held.recentSpent(s.slot(now)) { // half of the part is spent
+		if s.role == noBroker || held.recentSpent(s.slot(now)) > 0 {
 			s.requestReport(now)
 		}
-	} else {
-		held.isolated--
+		return s.returnAfter(now, held), false
+	}
+	if held.isolated {
+		held.isolatedLeft--
+	} else if held.level < rate.Burst/2 && allowed <= held.recentSpent(s.slot(now)) { // half of the part is spent
+		s.requestReport(now)
 	}
 	held.level--
 	held.spent++
@@ -362,6 +394,14 @@
 	return 0, true
 }
 
+// allowed returns how many tokens this process may spend now, isolated or not.
+func (s *bounded) allowed(now time.Time, h *boundedBucket) float64 {
+	if h.isolated {
+		return min(h.isolatedLeft, h.level+s.bounds.extra(h.rate))
+	}
+	return s.allowance(now, h)
+}
+
 // Standing is what one gateway knows of a workspace's bucket.
 type Standing struct {
 	Level     float64       // tokens of all gateways together, as far as this one knows
@@ -416,13 +456,10 @@
 	}
 	s := b.bounded
 	held := s.buckets[workspace]
-	standing := Standing{Level: held.level, Gateways: s.gateways, Silent: s.silent, Isolated: !held.isolatedAt.IsZero(), Allowance: held.isolated}
+	standing := Standing{Level: held.level, Allowance: max(0, s.allowed(now, held)), Gateways: s.gateways, Silent: s.silent, Isolated: held.isolated}
 	if s.heard {
 		standing.ReportAge = now.Sub(s.reportedAt)
 	}
-	if !standing.Isolated {
-		standing.Allowance = max(0, s.allowance(now, workspace, held))
-	}
 	return standing, true
 }
 
@@ -435,7 +472,7 @@
 		return 0, false
 	}
 	held := b.bounded.buckets[workspace]
-	if held == nil || held.level < 1 || !held.isolatedAt.IsZero() {
+	if held == nil || held.level < 1 || held.isolated {
 		return 0, false
 	}
 	held.advance(b.bounded.slot(now))
@@ -481,7 +518,10 @@
 // maxReturnWait.
 func (s *bounded) returnAfter(now time.Time, h *boundedBucket) time.Duration {
 	perSecond := h.rate.PerSecond * s.part(h)
-	if !h.isolatedAt.IsZero() {
+	switch {
+	case s.role == isBroker: // the callers of all gateways
+		perSecond = h.rate.PerSecond
+	case h.isolated:
 		perSecond = h.rate.PerSecond / float64(s.gateways)
 	}
 	step := time.Duration(float64(time.Second) / max(perSecond, 1e-3))
--- a/core/quota/bounded_test.go
+++ b/core/quota/bounded_test.go
@@ -14,8 +14,10 @@
 
 var testBounds = Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 
-// fleet simulates gateways that share one workspace's limit. Every 200 ms, a gateway
-// learns from each of two control hosts what the others had spent 200 ms before.
+// fleet simulates gateways that share one workspace's limit, and a broker that they ask
+// when their own part is spent. Every 200 ms, each learns from each of two control hosts
+// what the others had spent 200 ms before. A gateway that is cut off from control cannot
+// ask either.
 type fleet struct {
 	bounds         *Bounds // nil: buckets without bounds
 	gateways       int
@@ -30,6 +32,10 @@
 	silent         map[int][2]int
 	startedAt      map[int]int
 	controlLost    [2]int // of the control host that reports the number of gateways
+	noBroker       bool
+	brokerReplaced [2]int         // from and until, ms, in which no broker grants; then a second one does
+	cannotAsk      map[int][2]int // from and until, ms, by gateway: hears control, but not the broker
+	asked          int
 	lostReports    float64
 	seed           uint64
 	offered        int
@@ -71,15 +77,16 @@
 
 func (f *fleet) run() {
 	r := rand.New(rand.NewPCG(f.seed, 1))
-	all := make([]*Buckets, f.gateways)
-	reported := make([][]uint64, f.gateways) // by gateway and 10 ms: total that control hosts know
-	heardAt := make([][]int, f.gateways)     // by gateway and 10 ms
-	var totals []uint64                      // of reported, by 10 ms
-	var live []int                           // gateways heard of within 0.8 s, by 10 ms
-	phase := make([]int, f.gateways)
+	all := make([]*Buckets, f.gateways+2)  // the last two are storage hosts, of which one is the broker
+	reported := make([][]uint64, len(all)) // by process and 10 ms: total that control hosts know
+	heardAt := make([][]int, len(all))     // by process and 10 ms
+	var totals []uint64                    // of reported, by 10 ms
+	var live []int                         // gateways heard of within 0.8 s, by 10 ms
+	phase := make([]int, len(all))
 	for g := range all {
 		phase[g] = r.IntN(200)
 	}
+	brokers, list := all[f.gateways:], &Brokers{}
 	f.returnTimes = make(map[time.Duration]int)
 	var debts []map[string]float64 // of the first gateway, every 100 ms
 	oracle, owed := f.rate.Burst, 0.0
@@ -92,6 +99,7 @@
 				if f.bounds != nil {
 					all[g].SetBounds(now, *f.bounds, r.Uint64())
 					all[g].SetRates(now, map[string]Rate{"w": rate})
+					all[g].SetBrokered(!f.noBroker && g < f.gateways)
 				}
 			}
 			if ms%10 > 0 {
@@ -107,7 +115,7 @@
 			reported[g], heardAt[g] = append(reported[g], known), append(heardAt[g], heard)
 		}
 		if ms%10 == 0 {
-			total, count := sumReports(reported, heardAt, ms)
+			total, count := sumReports(reported, heardAt, ms, f.gateways)
 			totals, live = append(totals, total), append(live, count)
 		}
 		if ms%100 == 0 {
@@ -121,6 +129,7 @@
 				f.report(r, all[g], g, ms, &history{reported, heardAt, totals, live})
 			}
 		}
+		f.moveBroker(now, ms, list, brokers)
 		count := 0
 		oracle = min(rate.Burst, oracle+rate.PerSecond/1000)
 		for owed += f.demand(ms) / 1000 * 2 * r.Float64(); owed >= 1; owed-- {
@@ -131,6 +140,9 @@
 			}
 			oracle--
 			wait, ok := all[g].Take(now, "w", rate)
+			if !ok {
+				wait, ok = f.ask(now, ms, g, all[g], list, brokers, rate, wait)
+			}
 			if !flooded {
 				f.offered++
 			}
@@ -149,6 +161,45 @@
 	}
 }
 
+// moveBroker makes the storage hosts the broker and its deputy at the start. While the
+// broker is replaced, only the deputy is left, which is then the broker.
+func (f *fleet) moveBroker(now time.Time, ms int, list *Brokers, hosts []*Buckets) {
+	switch {
+	case f.noBroker || f.bounds == nil:
+	case ms == 0:
+		hosts[0].BecomeBroker()
+		hosts[1].BecomeBroker()
+		list.Set(now, []uint64{1, 2})
+	case ms == f.brokerReplaced[1]:
+		_, deputy := list.Of("w")
+		list.Set(now, []uint64{deputy})
+	}
+}
+
+// ask asks the broker, or else its deputy, for a token that a gateway does not have.
+func (f *fleet) ask(now time.Time, ms, g int, gateway *Buckets, list *Brokers, hosts []*Buckets, rate Rate, wait time.Duration) (time.Duration, bool) {
+	if f.bounds == nil || !gateway.MayAsk(now, "w") || !f.connected(g, ms) || within(ms, f.cannotAsk[g]) {
+		return wait, false
+	}
+	broker, deputy := list.Of("w")
+	id := broker
+	if within(ms, f.brokerReplaced) {
+		id = deputy
+	}
+	part := list.Part(now, id, "w")
+	if part == 0 || !hosts[id-1].Grants(now) {
+		return wait, false
+	}
+	f.asked++
+	wait, ok := hosts[id-1].Grant(now, "w", rate, part)
+	if ok {
+		gateway.Granted("w")
+	} else {
+		gateway.Refused(now, "w", wait)
+	}
+	return wait, ok
+}
+
 // history is what control hosts have learned of the gateways.
 type history struct {
 	reported [][]uint64
@@ -159,11 +210,11 @@
 
 // sumReports returns the sum of the newest reports and the number of gateways that were
 // heard of lately.
-func sumReports(reported [][]uint64, heardAt [][]int, ms int) (total uint64, live int) {
+func sumReports(reported [][]uint64, heardAt [][]int, ms, gateways int) (total uint64, live int) {
 	for g := range reported {
 		at := heardAt[g][len(heardAt[g])-1]
 		total += reported[g][len(reported[g])-1]
-		if at >= 0 && at >= ms-800 {
+		if g < gateways && at >= 0 && at >= ms-800 {
 			live++
 		}
 	}
@@ -178,7 +229,7 @@
 	}
 	tick := at / 10
 	total, live := known.totals[tick]-known.reported[g][tick], known.live[tick]
-	if own := known.heardAt[g][tick]; own < 0 || own < tick*10-800 {
+	if own := known.heardAt[g][tick]; g < f.gateways && (own < 0 || own < tick*10-800) {
 		live++
 	}
 	now := start.Add(time.Duration(ms) * time.Millisecond)
@@ -257,6 +308,9 @@
 		"no control":          func(f *fleet) { f.silent = spans(0, 21, 5000, 12_000) },
 		"control in the peak": func(f *fleet) { f.silent = spans(0, 21, 3000, 8000) },
 		"control replaced":    func(f *fleet) { f.controlLost = [2]int{6500, 9000} },
+		"broker replaced":     func(f *fleet) { f.brokerReplaced = [2]int{6500, 8000} },
+		"some cannot ask":     func(f *fleet) { f.cannotAsk = spans(0, 10, 5000, 9000) },
+		"all silent":          func(f *fleet) { f.silent = spans(0, 23, 5000, 12_000) },
 		"gateways start":      func(f *fleet) { f.startedAt = map[int]int{1: 6500, 2: 7000, 3: 7500} },
 		"rate halved":         func(f *fleet) { f.halvedAt = 8000 },
 		"lost reports":        func(f *fleet) { f.lostReports = 0.2 },
@@ -276,17 +330,20 @@
 			f.frozen, f.silent, f.halvedAt, f.lostReports = map[int][2]int{4: {7000, 9000}}, spans(5, 7, 5000, 10_000), 8000, 0.05
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			for seed := range uint64(3) {
-				f := hotFleet(seed)
-				change(f)
-				f.run()
-				excess, worst := f.excess()
-				t.Logf("seed %d: worst window %d, over its bound by %.0f; refused %d of %d", seed, worst, excess, f.refused, f.offered)
-				assert.LessOrEqual(t, excess, 0.0)
-			}
-		})
+		for _, noBroker := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, no broker %t", name, noBroker), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(3) {
+					f := hotFleet(seed)
+					f.noBroker = noBroker
+					change(f)
+					f.run()
+					excess, worst := f.excess()
+					t.Logf("seed %d: worst window %d, over its bound by %.0f; refused %d of %d", seed, worst, excess, f.refused, f.offered)
+					assert.LessOrEqual(t, excess, 0.0)
+				}
+			})
+		}
 	}
 }
 
@@ -430,6 +487,7 @@
 		from := rapid.IntRange(5000, 9000).Draw(t, "from")
 		until := from + rapid.IntRange(100, 4000).Draw(t, "for")
 		f.frozen = spans(0, rapid.IntRange(0, 1).Draw(t, "frozen"), from, until)
+		f.noBroker = rapid.Bool().Draw(t, "no broker")
 		f.silent = spans(1, 1+rapid.IntRange(0, f.gateways/5).Draw(t, "silent"), from, until)
 		f.run()
 		excess, worst := f.excess()
--- a/core/quota/scale_test.go
+++ b/core/quota/scale_test.go
@@ -29,6 +29,7 @@
 		{"at three gateways", func(f *fleet) { f.pick = func(r *rand.Rand, _ int) int { return r.IntN(min(3, f.gateways)) } }},
 		{"some frozen", func(f *fleet) { f.frozen = spans(0, faulty(f.gateways), 8000, 13_000) }},
 		{"some cut off", func(f *fleet) { f.silent = spans(0, faulty(f.gateways), 8000, 13_000) }},
+		{"broker replaced", func(f *fleet) { f.brokerReplaced = [2]int{8000, 10_000} }},
 		{"some new", func(f *fleet) {
 			f.startedAt = make(map[int]int)
 			for g := range faulty(f.gateways) {
@@ -45,7 +46,7 @@
 		for _, c := range scaleCases() {
 			t.Run(fmt.Sprintf("%g a second, %s", perSecond, c.name), func(t *testing.T) {
 				t.Parallel()
-				refused, offered := 0, 0
+				refused, offered, asked := 0, 0, 0
 				for seed := range uint64(seedsAt(perSecond)) {
 					f := &fleet{bounds: &testBounds, gateways: gateways, rate: Rate{PerSecond: perSecond, Burst: perSecond}, pick: evenly(gateways),
 						conform: true, floodFrom: conformFor, duration: conformFor + floodFor, seed: seed,
@@ -57,11 +58,11 @@
 						}}
 					c.change(f)
 					f.run()
-					refused, offered = refused+f.refused-f.refusedAtStart, offered+f.offered
+					refused, offered, asked = refused+f.refused-f.refusedAtStart, offered+f.offered, asked+f.asked
 					excess, worst := f.excess()
 					assert.LessOrEqual(t, excess, 0.0, "seed %d: worst window %d", seed, worst)
 				}
-				t.Logf("refused %d of %d", refused, offered)
+				t.Logf("refused %d of %d, asked %d times", refused, offered, asked)
 				assert.LessOrEqual(t, float64(refused), mostRefused*float64(offered))
 			})
 		}
--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -34,6 +34,8 @@
 	MethodSlotRelease wire.Method = 121 // unary: SlotRelease -> Ack, served by the broker
 	MethodStreamFind  wire.Method = 122 // unary: StreamFind -> StreamFound, served by the broker
 	MethodStreamBegun wire.Method = 123 // unary: StreamsBegun -> Ack, served by the broker
+
+	MethodTokenAcquire wire.Method = 124 // unary: TokenRequest -> Ack, served by the storage host that is the workspace's broker
 )
 
 // The roles of the processes of a site.
@@ -322,6 +324,12 @@
 	Pace    int    `msgpack:"p,omitempty"` // that the broker expects of the target, percent; 0: unknown
 }
 
+// TokenRequest requests a token of a workspace's rate. A workspace over its limit gets code
+// rate_limited.
+type TokenRequest struct {
+	Workspace string `msgpack:"w"`
+}
+
 // StreamFind asks where a stream began that its caller takes up again. Service is the
 // only one that it can be at, or empty.
 type StreamFind struct {
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -90,6 +90,7 @@
 	openConns    atomic.Int64 // callers' open connections
 	preemptions  *preemptions
 	slots        *slots
+	tokens       *tokens
 	suspects     *suspects
 	origins      *streamOrigins
 	crashes      *crashDetector
@@ -116,6 +117,7 @@
 	cfg.Follower.Targets.ShareLimits(cfg.Name)
 	s.preemptions = newPreemptions(s.jobs)
 	s.slots = newSlots(cfg.Follower, s.jobs)
+	s.tokens = newTokens(cfg.Follower, s.jobs, s.metrics)
 	s.origins = newStreamOrigins(cfg.Follower, s.jobs, metrics.GetOrRegisterCounter("entry.stream_reports.dropped", cfg.Metrics))
 	s.reporter = crashreport.New(cfg.Follower, cfg.Log, metrics.GetOrRegisterCounter("entry.crash_reports.dropped", cfg.Metrics))
 	s.suspects = newSuspects(cfg.Follower, s.reporter, cfg.Log, cfg.Metrics)
--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -95,7 +95,7 @@
 	if failure != nil {
 		f.finish()
 		if f.executions == 0 && f.refusals == 0 {
-			s.follower.Buckets.Return(c.workspaceName())
+			s.tokens.giveBack(c)
 		}
 		s.refuse(ctx, c, failure)
 	}
--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"banyanwalk/core/outcome"
-	"banyanwalk/core/quota"
 	"banyanwalk/core/routing"
 	"banyanwalk/services/targetcall"
 )
@@ -21,9 +20,6 @@
 	// retryMargin is how much less time than the route's timeout a request must have
 	// left on arrival for it to count as a retry.
 	retryMargin = 50 * time.Millisecond
-	// partWaitDivisor is the part of its route's latency objective, as a divisor, that a
-	// request waits at most for this gateway's part of its workspace's tokens.
-	partWaitDivisor = 2
 	// minRetryAfter is the shortest Retry-After of a refusal.
 	minRetryAfter = 10 * time.Millisecond
 )
@@ -41,6 +37,8 @@
 	tokens    int64    // that a target may hold for the request; 0: unknown
 	resumes   string   // id of the attempt that brought the first event of the stream that the caller takes up again
 	isRetry   bool     // the caller has used up part of its time, so it was refused before
+
+	brokeredToken bool // a broker granted the token of the workspace
 }
 
 func (c *call) workspaceName() string {
@@ -86,8 +84,8 @@
 		s.serveJob(ctx, c)
 		return
 	}
-	if wait, ok := s.awaitToken(c); !ok {
-		s.refuse(ctx, c, s.rateLimited(c).WithRetryAfter(wait))
+	if refusal := s.tokens.take(c); refusal != nil {
+		s.refuse(ctx, c, refusal)
 		return
 	}
 	s.forward(ctx, c)
@@ -193,54 +191,6 @@
 	return c.started.Add(limit)
 }
 
-// awaitToken takes a token from the workspace's bucket. If the workspace has tokens left
-// and only this gateway's part of them is spent, the request waits a little for it.
-func (s *Server) awaitToken(c *call) (wait time.Duration, ok bool) {
-	wait, ok = s.takeToken(c)
-	if ok || c.workspace == nil {
-		return wait, ok
-	}
-	frees, partOnly := s.follower.Buckets.FreesIn(s.follower.QuotaNow(), c.workspace.Name)
-	if !partOnly {
-		return wait, false
-	}
-	if frees > c.route.Objective/partWaitDivisor {
-		return frees, false
-	}
-	time.Sleep(frees)
-	return s.takeToken(c)
-}
-
-// rateLimited returns the refusal of a request for which there is no token, and counts its
-// cause.
-func (s *Server) rateLimited(c *call) *outcome.Error {
-	standing, known := s.follower.Buckets.Standing(s.follower.QuotaNow(), c.workspaceName())
-	if !known {
-		return outcome.New(outcome.RateLimited, outcome.NotRun, "over the rate of the workspace")
-	}
-	s.metrics.rateLimited(standing.Cause())
-	return outcome.New(outcome.RateLimited, outcome.NotRun, "no token at this gateway, %s: level %.1f, rate %g, burst %g, %d gateways, %d of them silent, last report %d ms ago",
-		standing.Cause(), standing.Level, c.workspace.RatePerSecond, c.workspace.Burst, standing.Gateways, standing.Silent, ms(standing.ReportAge))
-}
-
-// takeToken takes a token from the workspace's bucket.
-func (s *Server) takeToken(c *call) (wait time.Duration, ok bool) {
-	if c.workspace == nil {
-		return 0, true
-	}
-	rate := quota.Rate{PerSecond: c.workspace.RatePerSecond, Burst: c.workspace.Burst}
-	now := c.started
-	if s.follower.Buckets.Bounded() {
-		now = s.follower.QuotaNow()
-	}
-	wait, ok = s.follower.Buckets.Take(now, c.workspace.Name, rate)
-	if s.follower.Buckets.ReportDue() {
-		s.metrics.earlyReports.Inc(1)
-		s.follower.ReportNow()
-	}
-	return wait, ok
-}
-
 // refuse answers a request with a failure.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, c *call, failure *outcome.Error) {
 	status := httpStatus(failure)
--- a/services/entry/meters.go
+++ b/services/entry/meters.go
@@ -13,12 +13,14 @@
 
 // requestMetrics counts the requests of a gateway.
 type requestMetrics struct {
-	registry     metrics.Registry
-	resumed      metrics.Counter
-	retried      metrics.Counter
-	callersGone  metrics.Counter
-	earlyReports metrics.Counter // of what was spent, near the bound of a workspace
-	kinds        map[routing.Kind]*kindMetrics
+	registry         metrics.Registry
+	resumed          metrics.Counter
+	retried          metrics.Counter
+	callersGone      metrics.Counter
+	earlyReports     metrics.Counter // of what was spent, near the bound of a workspace
+	tokensAsked      metrics.Counter // of the broker
+	tokensUnanswered metrics.Counter
+	kinds            map[routing.Kind]*kindMetrics
 }
 
 // kindMetrics counts the answered requests of one kind of route.
@@ -40,12 +42,14 @@
 		}
 	}
 	return &requestMetrics{
-		kinds:        kinds,
-		registry:     r,
-		resumed:      metrics.GetOrRegisterCounter("entry.streams.resumed", r),
-		retried:      metrics.GetOrRegisterCounter("entry.requests.retried", r),
-		earlyReports: metrics.GetOrRegisterCounter("entry.quota.early_reports", r),
-		callersGone:  metrics.GetOrRegisterCounter("entry.callers.gone", r),
+		kinds:            kinds,
+		registry:         r,
+		resumed:          metrics.GetOrRegisterCounter("entry.streams.resumed", r),
+		retried:          metrics.GetOrRegisterCounter("entry.requests.retried", r),
+		earlyReports:     metrics.GetOrRegisterCounter("entry.quota.early_reports", r),
+		tokensAsked:      metrics.GetOrRegisterCounter("entry.quota.asked", r),
+		tokensUnanswered: metrics.GetOrRegisterCounter("entry.quota.unanswered", r),
+		callersGone:      metrics.GetOrRegisterCounter("entry.callers.gone", r),
 	}
 }
 
--- a/services/follow/feed.go
+++ b/services/follow/feed.go
@@ -95,7 +95,7 @@
 // sendReports sends this process's load to the control host until the stream
 // fails or ctx ends.
 func (f *Follower) sendReports(ctx context.Context, addr string, stream *wire.Stream, acceptsChanges *atomic.Bool) {
-	changes := reportChanges{bounded: f.Buckets.Bounded()}
+	changes := reportChanges{}
 	var sentAt time.Time
 	var sentLoads map[string]placement.Load
 	sentWantsPeerLoads := false
@@ -121,9 +121,9 @@
 		}
 		load := f.memberLoad()
 		if acceptsChanges.Load() {
-			changes.reduce(time.Now(), &load)
+			changes.reduce(time.Now(), f.spendsTokens(), &load)
 		}
-		if err := stream.Send(&rpc.FollowPing{Load: load, WantsPeerLoads: wantsPeerLoads, SpentOften: f.Buckets.Bounded(), AcceptsEarly: f.cfg.AcceptEarly}); err != nil {
+		if err := stream.Send(&rpc.FollowPing{Load: load, WantsPeerLoads: wantsPeerLoads, SpentOften: f.spendsTokens(), AcceptsEarly: f.cfg.AcceptEarly}); err != nil {
 			return
 		}
 		sentSpends, sentLeavings = spends, leavings
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -93,6 +93,10 @@
 	primary                string               // control host that is asked for the aggregate of the other processes
 	backup                 string               // asked too, by processes that keep to bounds of quotas
 	disconnected           bool
+	brokers                quota.Brokers // of tokens
+	brokersSeenAt          time.Time     // when brokers were last known
+	brokered               bool          // there are brokers
+	lastLeader             uint64        // replica id of the storage host that last led
 	badLoads               badLoads
 	controlHosts           map[string]bool // wire addresses of the followed control hosts
 	addedControlHosts      chan string
@@ -119,6 +123,9 @@
 	}
 	if cfg.Quota != nil {
 		f.Buckets.SetBounds(boottimeNow(), *cfg.Quota, cfg.Member.Incarnation)
+		if cfg.Member.Role == rpc.RoleStorage {
+			f.Buckets.BecomeBroker()
+		}
 	}
 	f.Targets.CountVersions(f.Gate.Serves)
 	f.catalog.Store(&catalog.State{})
@@ -288,16 +295,19 @@
 		member.Storage = f.cfg.Storage()
 	}
 	broker := f.brokerID()
-	return rpc.MemberLoad{
+	load := rpc.MemberLoad{
 		Member:   member,
 		Sequence: f.sequence.Add(1),
 		Spent:    f.Buckets.Spent(),
 		Loads:    f.ownLoads(broker),
-		Debts:    f.Buckets.Debts(f.QuotaNow()),
 		BrokerID: broker,
 		Limits:   f.Targets.LimitReports(time.Now()),
 		Leaving:  f.leavingTargets(),
 	}
+	if !f.Buckets.Bounded() || f.spendsTokens() {
+		load.Debts = f.Buckets.Debts(f.QuotaNow())
+	}
+	return load
 }
 
 // brokerID returns the ID of the broker that this process uses, or 0.
--- a/services/follow/merge.go
+++ b/services/follow/merge.go
@@ -35,6 +35,7 @@
 	}
 	if len(push.StorageHosts) > 0 {
 		f.storageHosts, f.storageHostsReceivedAt = push.StorageHosts, now
+		f.updateBrokers(now)
 		viewChanged = true
 	}
 	if push.PeerLoads != nil {
@@ -161,7 +162,7 @@
 		f.peerLoads = peers
 	}
 	if f.Buckets.Bounded() {
-		f.Buckets.ApplyPeers(f.QuotaNow(), quota.PeerReport{Source: aggregatorID(peers), Spent: peers.Spent, Primary: from == f.primary, Live: peers.GatewaysHeard + 1})
+		f.Buckets.ApplyPeers(f.QuotaNow(), quota.PeerReport{Source: aggregatorID(peers), Spent: peers.Spent, Primary: from == f.primary, Live: f.liveGateways(peers)})
 	} else {
 		f.Buckets.ApplyReport(aggregatorID(peers), peers.Spent)
 	}
--- a/services/follow/report_changes.go
+++ b/services/follow/report_changes.go
@@ -21,18 +21,18 @@
 type reportChanges struct {
 	spent   map[string]uint64 // last sent; nil: nothing yet
 	debtsAt time.Time
-	bounded bool // the gateway keeps to bounds of quotas
 }
 
-// reduce removes from a report what the receiver knows from the previous ones.
-func (c *reportChanges) reduce(now time.Time, load *rpc.MemberLoad) {
+// reduce removes from a report what the receiver knows from the previous ones. bounded is
+// whether the process keeps to bounds of quotas.
+func (c *reportChanges) reduce(now time.Time, bounded bool, load *rpc.MemberLoad) {
 	load.ChangesOnly = c.spent != nil
 	if c.spent == nil {
 		c.spent = make(map[string]uint64)
 	}
 	quota.KeepChanges(load.Spent, c.spent)
 	interval := debtsInterval
-	if c.bounded {
+	if bounded {
 		interval = boundedDebtsInterval
 	}
 	if now.Sub(c.debtsAt) < interval {
--- a/services/follow/report_changes_test.go
+++ b/services/follow/report_changes_test.go
@@ -14,7 +14,7 @@
 	now := time.Unix(1000, 0)
 	reduce := func(after time.Duration, spent map[string]uint64) rpc.MemberLoad {
 		load := rpc.MemberLoad{Spent: spent, Debts: map[string]float64{"a": 1}}
-		changes.reduce(now.Add(after), &load)
+		changes.reduce(now.Add(after), false, &load)
 		return load
 	}
 	first := reduce(0, map[string]uint64{"a": 1, "b": 2})
--- a/services/follow/watch.go
+++ b/services/follow/watch.go
@@ -19,6 +19,7 @@
 	}
 	f.choosePrimary(now)
 	f.checkDisconnected(now)
+	f.updateBrokers(now)
 }
 
 // choosePrimary picks the control host that is asked for the aggregate of the
@@ -48,7 +49,7 @@
 // chooseBackup picks a second control host to ask, for processes that keep to bounds of
 // quotas: what is spent while the primary is replaced must not be missed.
 func (f *Follower) chooseBackup(now time.Time) {
-	if !f.Buckets.Bounded() || f.backup != f.primary && now.Sub(f.lastPushes[f.backup]) <= primaryTimeout {
+	if !f.spendsTokens() || f.backup != f.primary && now.Sub(f.lastPushes[f.backup]) <= primaryTimeout {
 		return
 	}
 	f.backup = ""
