Refuse deeply nested messages before they are decoded

The decoder recurses, also over what it skips, and a stack overflow can't be recovered from. A command in a replicated log would end each replica again at each start. JSON of targets and operators was not affected: its decoder bounds the nesting.

--- a/infra/rafttransport/transport.go
+++ b/infra/rafttransport/transport.go
@@ -17,6 +17,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"banyanwalk/core/raft"
+	"banyanwalk/infra/codec"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/wire"
 )
@@ -226,7 +227,7 @@
 		}
 		if !batch.More {
 			assembled := new(rpc.RaftBatch)
-			return assembled, errors.Wrap(msgpack.Unmarshal(parts, assembled), "decode raft batch")
+			return assembled, errors.Wrap(codec.Unmarshal(parts, assembled), "decode raft batch")
 		}
 	}
 }
--- a/infra/wal/record.go
+++ b/infra/wal/record.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"banyanwalk/core/raft"
+	"banyanwalk/infra/codec"
 )
 
 // snapshotRef identifies the snapshot file that is current from this frame on.
@@ -30,7 +31,7 @@
 
 func decodeRecord(payload []byte) (*record, error) {
 	r := &record{}
-	if err := msgpack.Unmarshal(payload, r); err != nil {
+	if err := codec.Unmarshal(payload, r); err != nil {
 		return nil, errors.Wrap(err, "decode record")
 	}
 	return r, nil
--- a/infra/wal/snapshot.go
+++ b/infra/wal/snapshot.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"banyanwalk/core/raft"
+	"banyanwalk/infra/codec"
 	"banyanwalk/infra/durable"
 )
 
@@ -46,7 +47,7 @@
 	if !ok || size != len(data) {
 		return s, errors.Wrapf(ErrDamaged, "snapshot %d: invalid frame", ref.Index)
 	}
-	if err := msgpack.Unmarshal(payload, &s); err != nil {
+	if err := codec.Unmarshal(payload, &s); err != nil {
 		return s, errors.Wrapf(ErrDamaged, "snapshot %d: %v", ref.Index, err)
 	}
 	if s.Index != ref.Index || s.Term != ref.Term {
--- a/infra/wire/server.go
+++ b/infra/wire/server.go
@@ -10,9 +10,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 	"github.com/sourcegraph/conc"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"banyanwalk/core/outcome"
+	"banyanwalk/infra/codec"
 )
 
 // Handler serves one stream. A returned error is sent to the peer as an
@@ -180,7 +180,7 @@
 	if kind != frameOpen {
 		return header, errors.Wrapf(errBadFrame, "stream starts with kind %d", kind)
 	}
-	if err := msgpack.Unmarshal(body, &header); err != nil {
+	if err := codec.Unmarshal(body, &header); err != nil {
 		return header, errors.Mark(errors.Wrap(err, "open header"), errBadFrame)
 	}
 	return header, nil
--- a/infra/wire/stream.go
+++ b/infra/wire/stream.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"banyanwalk/core/outcome"
+	"banyanwalk/infra/codec"
 )
 
 // Method identifies a call on the wire by number.
@@ -66,12 +66,12 @@
 	}
 	switch kind {
 	case frameData:
-		return errors.Wrap(msgpack.Unmarshal(body, out), "decode frame")
+		return errors.Wrap(codec.Unmarshal(body, out), "decode frame")
 	case frameEnd:
 		return io.EOF
 	case frameError:
 		var e outcome.Error
-		if err := msgpack.Unmarshal(body, &e); err != nil {
+		if err := codec.Unmarshal(body, &e); err != nil {
 			return errors.Wrap(err, "decode error frame")
 		}
 		return &e
--- a/services/control/forward.go
+++ b/services/control/forward.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"banyanwalk/core/outcome"
+	"banyanwalk/infra/codec"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/wire"
 )
@@ -31,7 +32,7 @@
 func HandleForwardedTo[Req, Resp any](s *Server, method wire.Method, groupOf func(*Req) (uint32, error), handler Call[Req, Resp]) Call[Req, Resp] {
 	s.forwardHandlers[method] = func(ctx context.Context, group uint32, body []byte) ([]byte, error) {
 		request := new(Req)
-		if err := msgpack.Unmarshal(body, request); err != nil {
+		if err := codec.Unmarshal(body, request); err != nil {
 			return nil, outcome.New(outcome.BadFrame, outcome.NotRun, "forwarded request: %v", err)
 		}
 		response, err := runAsLeader(ctx, s, group, request, handler)
@@ -102,7 +103,7 @@
 		return nil, err
 	}
 	response := new(Resp)
-	if err := msgpack.Unmarshal(forwardResponse.Body, response); err != nil {
+	if err := codec.Unmarshal(forwardResponse.Body, response); err != nil {
 		return nil, outcome.New(outcome.BadFrame, outcome.MayHaveRun, "forwarded answer: %v", err)
 	}
 	return response, nil
--- a/services/control/state.go
+++ b/services/control/state.go
@@ -9,6 +9,7 @@
 
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
+	"banyanwalk/infra/codec"
 	"banyanwalk/infra/logclock"
 	"banyanwalk/infra/telemetry"
 )
@@ -45,7 +46,7 @@
 // Apply executes one encoded fleet.Command and returns its fleet.Result.
 func (c *configState) Apply(index uint64, command []byte) any {
 	var decoded fleet.Command
-	if err := msgpack.Unmarshal(command, &decoded); err != nil {
+	if err := codec.Unmarshal(command, &decoded); err != nil {
 		return fleet.Result{Error: outcome.New(outcome.Internal, outcome.NotRun, "decode command: %v", err)}
 	}
 	c.mu.Lock()
@@ -70,7 +71,7 @@
 // Restore replaces the complete state.
 func (c *configState) Restore(snapshot []byte) error {
 	var state fleet.State
-	if err := msgpack.Unmarshal(snapshot, &state); err != nil {
+	if err := codec.Unmarshal(snapshot, &state); err != nil {
 		return errors.Wrap(err, "decode configuration snapshot")
 	}
 	c.mu.Lock()
--- a/services/control/workgroup/group.go
+++ b/services/control/workgroup/group.go
@@ -10,6 +10,7 @@
 	"banyanwalk/core/batch"
 	"banyanwalk/core/idempotency"
 	"banyanwalk/core/outcome"
+	"banyanwalk/infra/codec"
 	"banyanwalk/infra/logclock"
 	"banyanwalk/services/control/replica"
 )
@@ -56,7 +57,7 @@
 // Apply applies one encoded command.
 func (g *group) Apply(_ uint64, encoded []byte) any {
 	var c command
-	if err := msgpack.Unmarshal(encoded, &c); err != nil {
+	if err := codec.Unmarshal(encoded, &c); err != nil {
 		return outcome.New(outcome.Internal, outcome.NotRun, "decode command: %v", err)
 	}
 	g.clock.Observe(c.NowMS)
@@ -98,7 +99,7 @@
 // Restore replaces the complete state by a snapshot.
 func (g *group) Restore(encoded []byte) error {
 	var s snapshot
-	if err := msgpack.Unmarshal(encoded, &s); err != nil {
+	if err := codec.Unmarshal(encoded, &s); err != nil {
 		return errors.Wrap(err, "decode work group")
 	}
 	g.mu.Lock()
--- a/services/control/workgroup/idempotent.go
+++ b/services/control/workgroup/idempotent.go
@@ -9,6 +9,7 @@
 	"banyanwalk/core/batch"
 	"banyanwalk/core/idempotency"
 	"banyanwalk/core/outcome"
+	"banyanwalk/infra/codec"
 	"banyanwalk/infra/httpapi"
 	"banyanwalk/infra/rpc"
 )
@@ -70,7 +71,7 @@
 	if err != nil {
 		return response, err
 	}
-	if err := msgpack.Unmarshal(data, &response); err != nil {
+	if err := codec.Unmarshal(data, &response); err != nil {
 		return response, outcome.New(outcome.Internal, outcome.NotRun, "decode stored answer: %v", err)
 	}
 	return response, nil
--- a/services/director/state.go
+++ b/services/director/state.go
@@ -10,6 +10,7 @@
 	"banyanwalk/core/catalog"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/quarantine"
+	"banyanwalk/infra/codec"
 	"banyanwalk/infra/logclock"
 	"banyanwalk/infra/rpc"
 )
@@ -38,7 +39,7 @@
 // Apply executes one encoded catalog.Command and returns its catalog.Result.
 func (c *catalogState) Apply(index uint64, command []byte) any {
 	var decoded catalog.Command
-	if err := msgpack.Unmarshal(command, &decoded); err != nil {
+	if err := codec.Unmarshal(command, &decoded); err != nil {
 		return catalog.Result{Error: outcome.New(outcome.Internal, outcome.NotRun, "decode command: %v", err)}
 	}
 	c.mu.Lock()
@@ -68,7 +69,7 @@
 // Restore replaces the complete state.
 func (c *catalogState) Restore(snapshot []byte) error {
 	var state catalog.Snapshot
-	if err := msgpack.Unmarshal(snapshot, &state); err != nil {
+	if err := codec.Unmarshal(snapshot, &state); err != nil {
 		return errors.Wrap(err, "decode catalog snapshot")
 	}
 	c.mu.Lock()
--- a/services/director/target_file.go
+++ b/services/director/target_file.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"banyanwalk/core/roster"
+	"banyanwalk/infra/codec"
 	"banyanwalk/infra/durable"
 )
 
@@ -46,7 +47,7 @@
 		return nil, errors.Wrap(err, "read targets")
 	}
 	var reports []roster.Report
-	if err := msgpack.Unmarshal(encoded, &reports); err != nil {
+	if err := codec.Unmarshal(encoded, &reports); err != nil {
 		return nil, errors.Wrap(err, "decode targets")
 	}
 	return reports, nil
--- a/services/jobhost/state.go
+++ b/services/jobhost/state.go
@@ -10,6 +10,7 @@
 
 	"banyanwalk/core/jobs"
 	"banyanwalk/core/outcome"
+	"banyanwalk/infra/codec"
 )
 
 // jobsState is the replicated state of the jobs. It implements
@@ -34,7 +35,7 @@
 // Apply executes one encoded jobs.Command and returns its jobs.ApplyResult.
 func (s *jobsState) Apply(_ uint64, command []byte) any {
 	var decoded jobs.Command
-	if err := msgpack.Unmarshal(command, &decoded); err != nil {
+	if err := codec.Unmarshal(command, &decoded); err != nil {
 		return jobs.ApplyResult{Error: outcome.New(outcome.Internal, outcome.NotRun, "decode command: %v", err)}
 	}
 	s.mu.Lock()
@@ -64,7 +65,7 @@
 // holds.
 func (s *jobsState) Restore(encoded []byte) error {
 	var snapshot jobs.Snapshot
-	if err := msgpack.Unmarshal(encoded, &snapshot); err != nil {
+	if err := codec.Unmarshal(encoded, &snapshot); err != nil {
 		return errors.Wrap(err, "decode jobs snapshot")
 	}
 	s.mu.Lock()
--- a/services/replicated/group.go
+++ b/services/replicated/group.go
@@ -20,6 +20,7 @@
 
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/raft"
+	"banyanwalk/infra/codec"
 	"banyanwalk/infra/pause"
 	"banyanwalk/infra/rafttransport"
 	"banyanwalk/infra/rpc"
@@ -234,7 +235,7 @@
 		return nil, err
 	}
 	result := new(R)
-	if err := msgpack.Unmarshal(response.Result, result); err != nil {
+	if err := codec.Unmarshal(response.Result, result); err != nil {
 		return nil, outcome.New(outcome.BadFrame, outcome.MayHaveRun, "result of a command: %v", err)
 	}
 	return result, nil
