targetcall: a refusal that a target writes again is not taken for a new one

If the repetition bore no id, or the later request had the id of the refused one (an item of a job that runs again), the running request counted as not run and ran elsewhere. Change: on a connection that has served before, a response without id is no answer: the request may have run. A connection on which a request failed is not used for that id again. Ruled out: repetitions with another's id (skipped as before), while the connection is idle or behind an answer (it is closed as before). Not distinguishable: a refusal that bears the id of a request that was not refused before.

--- a/infra/targetconn/pool.go
+++ b/infra/targetconn/pool.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,9 @@
 const (
 	readBufferBytes = 16 << 10
 	dialTimeout     = 400 * time.Millisecond
+	// maxFailures is after how many failed requests a connection is closed, which bounds the
+	// ids that it holds.
+	maxFailures = 64
 )
 
 // keepAlive detects dead connections within three seconds.
@@ -28,6 +32,7 @@
 	Reader       *bufio.Reader
 	limit        *readLimit
 	Reused       bool      // it has carried an earlier request
+	failed       []string  // ids of the requests that the target refused or failed on it
 	idleDeadline time.Time // the target may close it after this time; zero: unknown
 }
 
@@ -49,6 +54,26 @@
 	return p.addr
 }
 
+// NoteFailed records that the target refused or failed a request on this connection.
+func (c *Conn) NoteFailed(id string) { c.failed = append(c.failed, id) }
+
+// HasFailed reports whether the target refused or failed a request with this id on this
+// connection.
+func (c *Conn) HasFailed(id string) bool { return slices.Contains(c.failed, id) }
+
+// GetFor is Get for a request with an id. It passes over connections on which a request with
+// that id failed: if the target repeated that response, it would look like one to this
+// request.
+func (p *Pool) GetFor(ctx context.Context, id string) (*Conn, error) {
+	for {
+		conn, err := p.Get(ctx)
+		if err != nil || !conn.HasFailed(id) {
+			return conn, err
+		}
+		conn.Close()
+	}
+}
+
 // Get returns an idle connection that the target has not closed, or dials a new
 // one. If it fails, nothing was sent to the target.
 func (p *Pool) Get(ctx context.Context) (*Conn, error) {
@@ -100,7 +125,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) >= p.max || conn.RemoteAddr().String() != p.addr {
+	if len(p.idle) >= p.max || len(conn.failed) >= maxFailures || conn.RemoteAddr().String() != p.addr {
 		conn.Close()
 		return
 	}
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -142,7 +142,7 @@
 // connection is closed when ctx ends. Errors are of type *Failure.
 func (c *Client) Do(ctx context.Context, target *roster.Record, r *Request) (*Response, error) {
 	pool := c.pool(target)
-	conn, err := pool.Get(ctx)
+	conn, err := pool.GetFor(ctx, r.ID)
 	if err != nil {
 		return nil, &Failure{Outcome: outcome.NotRun, Reason: "connect: " + err.Error()}
 	}
@@ -162,6 +162,9 @@
 	c.observeLeaving(target, resp)
 	c.observeLimit(target, resp)
 	c.observeLoad(target, resp)
+	if resp.Status >= http.StatusMultipleChoices {
+		resp.conn.NoteFailed(r.ID)
+	}
 	if err := c.checkResponse(r, resp); err != nil {
 		err.Load = resp.Load
 		resp.drain()
@@ -193,10 +196,13 @@
 		resp.Status, resp.Header, resp.body = httpResponse.StatusCode, httpResponse.Header, httpResponse.Body
 		resp.reusable = !httpResponse.Close
 		echoed := httpResponse.Header.Get(c.headers.RequestID)
-		if echoed == r.ID || echoed == "" && httpResponse.StatusCode >= http.StatusMultipleChoices {
+		if echoed == r.ID || echoed == "" && httpResponse.StatusCode >= http.StatusMultipleChoices && !resp.Reused {
 			return nil
 		}
 		c.strayResponses.Inc(1)
+		if echoed == "" { // it may be this request's, but also a repetition of an earlier one's
+			return &Failure{Outcome: outcome.MayHaveRun, Reason: "response without id on a used connection"}
+		}
 		if n, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, maxStrayBytes)); err != nil || n == maxStrayBytes || httpResponse.Close {
 			return &Failure{Outcome: outcome.MayHaveRun, Reason: "response to another request"}
 		}
