--- a/services/targetcall/repeated_refusal_test.go
+++ b/services/targetcall/repeated_refusal_test.go
@@ -121,18 +121,18 @@
 					addr, runs := faultyTarget(t, identity, when)
 					c := NewClient(HeaderNames{RequestID: "X-Id", NotRun: "X-Not-Run", Signature: "X-Signature"}, noObserver{}, metrics.NewRegistry())
 					target := &roster.Record{Report: roster.Report{ID: "t", Addr: addr}}
-					send := func(id string) (*Failure, bool) {
+					send := func(id string) *Failure {
 						response, err := c.Do(t.Context(), target, &Request{Method: http.MethodPost, URI: "/", Host: "h", ID: id, Deadline: time.Now().Add(5 * time.Second)})
 						if err != nil {
 							var failure *Failure
 							require.True(t, errors.As(err, &failure))
-							return failure, false
+							return failure
 						}
 						response.drain()
 						response.Close()
-						return nil, true
+						return nil
 					}
-					failure, _ := send("first")
+					failure := send("first")
 					require.Equal(t, outcome.NotRun, failure.Outcome)
 					time.Sleep(40 * time.Millisecond)
 					id := "second"
@@ -140,7 +140,7 @@
 						id = "first"
 					}
 					for range 3 {
-						failure, _ := send(id)
+						failure := send(id)
 						ran := len(runs) > 0
 						if failure != nil && ran {
 							assert.Equal(t, outcome.MayHaveRun, failure.Outcome, failure)
