--- a/services/director/recall.go
+++ b/services/director/recall.go
@@ -51,6 +51,10 @@
 	paths := s.healthPaths(ctx)
 	probes := pool.New().WithMaxGoroutines(probesAtOnce)
 	for _, report := range reports {
+		if err := report.Validate(); err != nil {
+			s.log.Warn("target_report_refused", "target", report.ID, "error", err)
+			continue
+		}
 		path := paths[report.Service]
 		if path == "" {
 			continue
--- a/services/follow/merge.go
+++ b/services/follow/merge.go
@@ -130,6 +130,10 @@
 	for i := range reports {
 		reportedAt := now.Add(-time.Duration(reports[i].AgeMS) * time.Millisecond)
 		report := reports[i].Report
+		if err := report.Validate(); err != nil {
+			f.cfg.Log.Warn("target_report_refused", "target", report.ID, "error", err)
+			continue
+		}
 		if reports[i].Leaving && f.roster.MarkLeaving(now, report.ID, report.Incarnation) == roster.Changed {
 			changed = true
 			f.cfg.Log.Info("target_leaving_taken", "target", report.ID, "target_incarnation", report.Incarnation)
