--- a/core/quota/bounded.go
+++ b/core/quota/bounded.go
@@ -31,8 +31,8 @@
 	equalWeight = 0.3
 	// usePrior is how many requests, spread equally, count as use in addition. Use by the
 	// others is known later than a gateway's own: in a flood each gateway sees its own part
-	// grow first, and the sum of the parts exceeds one. With 2 requests, two gateways exceeded the
-	// bound of a workspace of 5 a second by 3.
+	// grow first, and the sum of the parts exceeds one. With 2 requests, two gateways exceeded
+	// the bound of a workspace of 5 a second by 3.
 	usePrior = 20.0
 	// overageUse is the part of the overage that is spent on purpose. The rest covers
 	// what gateways spend unknown to each other while their parts change.
@@ -81,7 +81,7 @@
 	heard      bool // a primary has reported
 	gateways   int  // that share the rates; including silent ones
 	gatewaysAt time.Time
-	silent     int // of them, not heard of
+	silent     int // of them, those not heard of
 	sources    map[string]bool
 	buckets    map[string]*boundedBucket
 	spends     uint64 // number of tokens spent
@@ -309,8 +309,8 @@
 
 // share returns this process's part of what all may spend until they know of each other's
 // spending, including what it has spent within ownWindow: of the level and the extra, less
-// what is left for silent gateways. With a broker, brokers have fixed parts and
-// gateways divide the rest. Without, the first tokens are divided one to each gateway, because small
+// what is left for silent gateways. With brokers, each of them has a fixed part and gateways
+// divide the rest. Without, the first tokens are divided one to each gateway, because small
 // workspaces have no more, the rest by part.
 func (s *bounded) share(own float64, h *boundedBucket) float64 {
 	available := max(0, h.level+own+s.bounds.extra(h.rate)-s.silentClaim(h))
@@ -402,67 +402,6 @@
 	return s.allowance(now, h)
 }
 
-// Standing is what one gateway knows of a workspace's bucket.
-type Standing struct {
-	Level     float64       // tokens of all gateways together, as far as this one knows
-	Allowance float64       // tokens that this gateway may spend now
-	Gateways  int           // that share the tokens
-	Silent    int           // of them
-	ReportAge time.Duration // since the last report about the other gateways
-	Isolated  bool          // the last report is too old
-}
-
-// Cause returns why a request that Take refuses now is refused.
-func (s Standing) Cause() Cause {
-	switch {
-	case s.Isolated:
-		return Isolated
-	case s.Level >= 1:
-		return PartSpent
-	default:
-		return LimitReached
-	}
-}
-
-// Cause is the reason of a refusal.
-type Cause uint8
-
-// The reasons of refusals.
-const (
-	LimitReached Cause = iota // the workspace has no tokens left
-	PartSpent                 // tokens are left, but this gateway's part of them is spent or less than one
-	Isolated                  // this gateway does not hear what the others spend
-)
-
-// String returns the name of the cause in logs and metrics.
-func (c Cause) String() string {
-	switch c {
-	case PartSpent:
-		return "part_spent"
-	case Isolated:
-		return "isolated"
-	case LimitReached:
-	}
-	return "limit_reached"
-}
-
-// Standing returns what this gateway knows of a workspace's bucket; false without bounds
-// or before the first request of the workspace.
-func (b *Buckets) Standing(now time.Time, workspace string) (Standing, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.bounded == nil || b.bounded.buckets[workspace] == nil {
-		return Standing{}, false
-	}
-	s := b.bounded
-	held := s.buckets[workspace]
-	standing := Standing{Level: held.level, Allowance: max(0, s.allowed(now, held)), Gateways: s.gateways, Silent: s.silent, Isolated: held.isolated}
-	if s.heard {
-		standing.ReportAge = now.Sub(s.reportedAt)
-	}
-	return standing, true
-}
-
 // FreesIn returns the time after which this gateway may spend one more token of a
 // workspace, if tokens are left and only its own part of them is spent.
 func (b *Buckets) FreesIn(now time.Time, workspace string) (wait time.Duration, partOnly bool) {
