core/quota: test service within the limit without brokers again

Cause: the change for brokers gave the fleets of TestCallersWithinLimitAreServed brokers, so the loads it had checked without any were no longer checked that way.

--- a/core/quota/bounded_test.go
+++ b/core/quota/bounded_test.go
@@ -363,7 +363,16 @@
 // Requests within rate and burst are next to never refused. Guards against parts of the
 // limit that are too small where the callers are.
 func TestCallersWithinLimitAreServed(t *testing.T) {
-	requireServed(t, map[string]withinLimit{
+	requireServed(t, loadsWithinLimit(), false)
+}
+
+// As TestCallersWithinLimitAreServed, for a fleet that has lost its brokers for long.
+func TestCallersWithinLimitAreServedWithoutBrokers(t *testing.T) {
+	requireServed(t, loadsWithinLimit(), true)
+}
+
+func loadsWithinLimit() map[string]withinLimit {
+	return map[string]withinLimit{
 		"small, spread":           {Rate{2, 2}, 0.8, nil},
 		"small, one gateway":      {Rate{2, 2}, 0.8, oneGateway},
 		"10 a second, half load":  {Rate{10, 10}, 0.5, nil},
@@ -374,7 +383,7 @@
 		"large, two silent":       {Rate{185, 185}, 0.8, func(f *fleet) { f.silent = spans(5, 7, 5000, 20_000) }},
 		"large, control changes":  {Rate{185, 185}, 0.8, func(f *fleet) { f.controlLost = [2]int{6500, 9000} }},
 		"gateway starts":          {Rate{20, 20}, 0.5, func(f *fleet) { f.startedAt = map[int]int{3: 8000} }},
-	})
+	}
 }
 
 // Guards against refusing callers of small workspaces whose load comes near the limit:
@@ -386,7 +395,7 @@
 		"10 a second, near limit": {Rate{10, 10}, 0.9, nil},
 		"20 a second, near limit": {Rate{20, 20}, 0.9, nil},
 		"steps of load":           {Rate{20, 20}, 0, func(f *fleet) { f.demand = steps(20) }},
-	})
+	}, false)
 }
 
 // Guards against refusing, or telling too late a time to return, a caller of a workspace
@@ -434,13 +443,13 @@
 // mostRefused is the largest share of requests within the limit that may be refused.
 const mostRefused = 0.01
 
-func requireServed(t *testing.T, loads map[string]withinLimit) {
+func requireServed(t *testing.T, loads map[string]withinLimit, noBroker bool) {
 	for name, test := range loads {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			refused, offered, atStart := 0, 0, 0
 			for seed := range uint64(4) {
-				f := &fleet{bounds: &testBounds, gateways: 21, rate: test.rate, pick: evenly(21), conform: true, duration: 30_000, seed: seed,
+				f := &fleet{bounds: &testBounds, gateways: 21, rate: test.rate, pick: evenly(21), conform: true, duration: 30_000, seed: seed, noBroker: noBroker,
 					demand: func(int) float64 { return test.demand * test.rate.PerSecond }}
 				if test.change != nil {
 					test.change(f)
