--- a/review/kit/memory.go
+++ b/review/kit/memory.go
@@ -12,7 +12,7 @@
 	restartDelay = 500 * time.Millisecond
 	// The mean rate of batch submissions of the site is 1.03 a second.
 	submitEvery = time.Second
-	submissions = 18
+	submissions = 32
 	submitFor   = 40 * time.Second // no further submission is begun after that
 	mostRead    = 8                // of the accepted ones, at the end
 	bodyBytes   = 15000            // mean of the site
