--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -29,6 +29,7 @@
 	"stale":     staleOrder,
 	"foreign":   foreignReport,
 	"gateway":   gatewayBodies,
+	"routes":    newRoutes,
 }
 
 func main() { os.Exit(mainStatus()) }
