--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -30,6 +30,7 @@
 	"foreign":   foreignReport,
 	"gateway":   gatewayBodies,
 	"routes":    newRoutes,
+	"unheard":   unheardChange,
 }
 
 func main() { os.Exit(mainStatus()) }
