services/follow: keep an early catalog until its sender confirms it

What callers saw: after all control processes were killed at once, a change that was acknowledged as they came back never reached the gateways.

Cause: a control host without a confirmation sends its catalog as an early one and, once a quorum confirms it, only its revision. A gateway that holds a confirmed catalog drops early ones, so it has nothing that the revision could confirm. Ruled out: a push that is not sent, and a slow decode (the change does not come in 30 s in an idle process, while a follower without a catalog takes it at once).

Change: a follower keeps the early catalog of each control host that it does not act on, and takes it when that host confirms it. No byte more is sent.

Related paths looked at: confirmed catalogs, verdicts, control hosts, targets with limits and leaving marks, storage hosts, reduced reports of gateways, initial debts. Each is sent anew on a new stream or repeated, and taken when newer.

--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -138,7 +138,8 @@
 	Catalog *PackedCatalog `msgpack:"c,omitempty"`
 	// EarlyCatalog is committed, but may be older than what was acknowledged before
 	// the control host started. ConfirmedRevision is the revision of such a catalog
-	// once it is known to be current; 0: nothing new is known.
+	// once it is known to be current; 0: nothing new is known. The catalog is not sent
+	// again, so a follower that does not act on an early one keeps it until then.
 	EarlyCatalog      *PackedCatalog     `msgpack:"e,omitempty"`
 	ConfirmedRevision uint64             `msgpack:"k,omitempty"`
 	Verdicts          *quarantine.Update `msgpack:"v,omitempty"`
--- a/services/director/confirm_test.go
+++ b/services/director/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanwalk/core/routing"
+	"banyanwalk/infra/rpc"
 )
 
 // hostPair runs two control hosts of one group; both are needed for a quorum.
@@ -111,3 +113,32 @@
 	require.Eventually(t, func() bool { return !f.CatalogIsEarly() }, waitTimeout, time.Millisecond)
 	assert.Equal(t, uint64(2), f.Table().Version())
 }
+
+// A gateway that holds a confirmed catalog does not act on the early one of a host that
+// has just started. The host confirms it by its number only: a change that was acknowledged
+// while all control hosts restarted, an evacuation too, never reached such gateways
+// (review/2, TestSiteSurvivesLossOfLeaders).
+func TestConfirmedFollowerTakesChangeOfRestartedHost(t *testing.T) {
+	p := newHostPair(t)
+	put := func(version uint64) {
+		require.Eventually(t, func() bool {
+			return p.servers[0].PutDocument(t.Context(), document(version), []byte{byte(version)}) == nil && p.servers[0].state.state().Version == version
+		}, waitTimeout, time.Millisecond)
+	}
+	put(1)
+	before := rpc.PackCatalog(p.servers[0].state.state(), nil)
+	put(2)
+	require.NoError(t, p.servers[0].SetDataCentre(t.Context(), "b", true))
+	p.stopHost(0)
+	p.stopHost(1)
+	p.startHost(0)
+	f := newFollower(earlyConfig(p.addrs[0]))
+	f.ApplyPush(time.Now(), "before the restart", &rpc.FollowPush{Catalog: before})
+	startFollowing(t, f)
+	require.Eventually(t, func() bool { return slices.Contains(f.ControlHosts(), p.addrs[0]) }, waitTimeout, time.Millisecond)
+	assert.Equal(t, uint64(1), f.Table().Version(), "no quorum has confirmed the newer document")
+	p.startHost(1)
+	require.Eventually(t, func() bool { return f.Table().Version() == 2 }, waitTimeout, time.Millisecond)
+	assert.True(t, f.Catalog().IsOut("b"))
+	assert.False(t, f.CatalogIsEarly())
+}
--- a/services/director/director_test.go
+++ b/services/director/director_test.go
@@ -154,14 +154,30 @@
 
 // startEarlyFollower runs a follower that accepts an early catalog.
 func startEarlyFollower(t *testing.T, addr string) *follow.Follower {
+	return runFollower(t, earlyConfig(addr))
+}
+
+// earlyConfig is that of a follower that accepts an early catalog. A document's body is
+// its version.
+func earlyConfig(addr string) follow.Config {
 	decode := func(body []byte) (*routing.Document, error) { return document(uint64(body[0])), nil }
-	return runFollower(t, follow.Config{Seeds: []string{addr}, Decode: decode, AcceptEarly: true})
+	return follow.Config{Seeds: []string{addr}, Decode: decode, AcceptEarly: true}
 }
 
 func runFollower(t *testing.T, cfg follow.Config) *follow.Follower {
+	follower := newFollower(cfg)
+	startFollowing(t, follower)
+	return follower
+}
+
+func newFollower(cfg follow.Config) *follow.Follower {
 	cfg.Member = rpc.Member{Name: "g", Role: rpc.RoleGateway, DataCentre: "a"}
 	cfg.Log = telemetry.Discard()
-	follower := follow.New(cfg)
+	return follow.New(cfg)
+}
+
+// startFollowing runs a follower until the test ends.
+func startFollowing(t *testing.T, follower *follow.Follower) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	wg.Go(func() { assert.NoError(t, follower.Run(ctx)) })
@@ -169,7 +185,6 @@
 		cancel()
 		wg.Wait()
 	})
-	return follower
 }
 
 func TestFollowersReceiveChanges(t *testing.T) {
--- a/services/follow/follow.go
+++ b/services/follow/follow.go
@@ -87,11 +87,12 @@
 	storageHosts           []rpc.Member
 	storageHostsReceivedAt time.Time // when the last list of storage hosts arrived
 	peerLoads              *rpc.PeerLoads
-	peerLoadsReceivedAt    time.Time            // when peerLoads arrived
-	lastPushes             map[string]time.Time // time of the last push, by control host
-	lastPush               time.Time            // time of the last push of any control host
-	primary                string               // control host that is asked for the aggregate of the other processes
-	backup                 string               // asked too, by processes that keep to bounds of quotas
+	peerLoadsReceivedAt    time.Time                     // when peerLoads arrived
+	lastPushes             map[string]time.Time          // time of the last push, by control host
+	lastPush               time.Time                     // time of the last push of any control host
+	unconfirmed            map[string]*rpc.PackedCatalog // early catalogs that wait for their confirmation, by control host
+	primary                string                        // control host that is asked for the aggregate of the other processes
+	backup                 string                        // asked too, by processes that keep to bounds of quotas
 	disconnected           bool
 	brokers                quota.Brokers // of tokens
 	brokersSeenAt          time.Time     // when brokers were last known
@@ -117,6 +118,7 @@
 		Gate:              rollout.NewGate(boottimeNow),
 		roster:            roster.New(),
 		lastPushes:        make(map[string]time.Time),
+		unconfirmed:       make(map[string]*rpc.PackedCatalog),
 		controlHosts:      make(map[string]bool),
 		addedControlHosts: make(chan string, maxControlHosts),
 		changed:           make(chan struct{}),
--- a/services/follow/merge.go
+++ b/services/follow/merge.go
@@ -53,23 +53,42 @@
 }
 
 // mergeCatalog takes the catalog of a push. An early one counts only until a
-// confirmed one has come.
+// confirmed one has come; after that it is kept until its sender confirms it, as the
+// sender does not repeat it then.
 func (f *Follower) mergeCatalog(from string, push *rpc.FollowPush) bool {
 	changed := false
 	switch {
 	case push.Catalog != nil:
 		changed = f.takeCatalog(from, push.Catalog)
 		f.confirmCatalog(from, push.Catalog.State.Revision)
+		delete(f.unconfirmed, from)
 	case push.EarlyCatalog != nil && f.cfg.AcceptEarly && (f.table.Load() == nil || f.early.Load()):
 		f.early.Store(true) // before the table is visible
 		changed = f.takeCatalog(from, push.EarlyCatalog)
+	case push.EarlyCatalog != nil && f.cfg.AcceptEarly:
+		f.unconfirmed[from] = push.EarlyCatalog
 	}
 	if push.ConfirmedRevision > 0 {
+		changed = f.takeUnconfirmed(from, push.ConfirmedRevision) || changed
 		f.confirmCatalog(from, push.ConfirmedRevision)
 	}
 	return changed
 }
 
+// takeUnconfirmed takes the early catalog that was kept of a control host, which has now
+// confirmed it.
+func (f *Follower) takeUnconfirmed(from string, revision uint64) bool {
+	changed := false
+	if kept := f.unconfirmed[from]; kept != nil && kept.State.Revision == revision {
+		changed = f.takeCatalog(from, kept)
+	}
+	delete(f.unconfirmed, from)
+	if current := f.catalog.Load(); current.Revision < revision {
+		f.cfg.Log.Error("confirmed_catalog_missing", "from", from, "revision", revision, "revision_held", current.Revision)
+	}
+	return changed
+}
+
 // confirmCatalog notes that a control host has confirmed the catalog up to a revision.
 func (f *Follower) confirmCatalog(from string, revision uint64) {
 	if current := f.catalog.Load(); f.early.Load() && current.Revision >= revision {
