services/jobhost: judge a job's routes by no older document than it was accepted by

Cause: the leading storage host carries out a submission before it has taken the document that the gateway accepted it by. The item's path has no route in its table, which startItem takes for a route that was removed. A freeze makes the order certain, but is not needed. Ruled out: answers of targets (nothing runs) and the maximum wait.

Change: a job carries the version of the document by which it was accepted (jobs.Spec.Document); its items neither run nor end by their route until the host has that version. The host logs items_await_document.

Related paths looked at: items whose route has changed its service and new leaders behind their predecessors had the same fault; brokers of slots and tokens, orders at control, recall of targets and gateways that are behind have not.

--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -37,6 +37,9 @@
 	MaxWaitMS    int64  `msgpack:"m"` // time from submission after which an item may be abandoned
 	MaxAttempts  int    `msgpack:"a"` // failed attempts after which an item may be abandoned
 	MaxQueued    int64  `msgpack:"q"` // limit on the workspace's open tokens on the route; 0: no limit
+	// Document is the version of the routing document by which the job was accepted. An
+	// older one does not decide on its items. 0: accepted by a build that did not store it.
+	Document uint64 `msgpack:"d,omitempty"`
 }
 
 // State is the final state of an item.
--- a/services/entry/jobs.go
+++ b/services/entry/jobs.go
@@ -118,6 +118,7 @@
 		MaxWaitMS:    c.route.MaxWait.Milliseconds(),
 		MaxAttempts:  c.route.MaxAttempts,
 		MaxQueued:    c.route.MaxQueuedTokens,
+		Document:     c.table.Version(),
 	}
 	bounded, cancel := context.WithTimeout(context.Background(), submitTimeout)
 	defer cancel()
--- a/services/entry/take_up_test.go
+++ b/services/entry/take_up_test.go
@@ -21,10 +21,17 @@
 
 // serveOrigin makes a broker tell the gateway where each stream began.
 func (f *fixture) serveOrigin(found rpc.StreamFound) {
+	f.serveStorage(func(server *wire.Server) {
+		wire.HandleUnary(server, rpc.MethodStreamFind, func(context.Context, *rpc.StreamFind) (*rpc.StreamFound, error) { return &found, nil })
+	})
+}
+
+// serveStorage runs a leading storage host with the handlers that register adds.
+func (f *fixture) serveStorage(register func(*wire.Server)) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(f.t, err)
 	server := wire.NewServer(telemetry.Discard(), nil)
-	wire.HandleUnary(server, rpc.MethodStreamFind, func(context.Context, *rpc.StreamFind) (*rpc.StreamFound, error) { return &found, nil })
+	register(server)
 	ctx, stop := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	wg.Go(func() { _ = server.Serve(ctx, l) }) // ends with the test
--- a/services/jobhost/jobhost_test.go
+++ b/services/jobhost/jobhost_test.go
@@ -33,9 +33,9 @@
 
 var headerNames = standin.HeaderNames()
 
-func routingDocument(prefix string) *routing.Document {
+func routingDocument(version uint64, prefix string) *routing.Document {
 	return &routing.Document{
-		Version:  1,
+		Version:  version,
 		Services: []routing.Service{{Name: "llm", Slots: targetSlots, KVCapacity: 72_000}},
 		Routes: []routing.Route{{Name: "lots", Host: "h", Prefix: prefix, Kind: routing.Batch, Timeout: time.Second,
 			Shares: []routing.Share{{Service: "llm", Weight: 1}}}},
@@ -66,7 +66,7 @@
 		Log: telemetry.Discard(), Metrics: metrics.NewRegistry()})
 	f.follower = follow.New(follow.Config{
 		Member: rpc.Member{Name: "s1", Role: rpc.RoleStorage}, Storage: f.host.StorageState, Broker: f.host.BrokerID,
-		Decode: func([]byte) (*routing.Document, error) { return routingDocument(f.prefix), nil }, Log: telemetry.Discard(),
+		Decode: func([]byte) (*routing.Document, error) { return routingDocument(f.revision, f.prefix), nil }, Log: telemetry.Discard(),
 	})
 	f.host.SetFollower(f.follower)
 	push := &rpc.FollowPush{}
@@ -100,10 +100,16 @@
 }
 
 func (f *fixture) submit(id string, items int) error {
-	spec := &jobs.Spec{ID: id, Workspace: "w", Route: "lots", Host: "h", CompletionMS: 60_000, MaxWaitMS: 60_000, MaxAttempts: 2}
+	return f.submitBy(f.revision, f.prefix, id, items)
+}
+
+// submitBy submits a job that a gateway has accepted by a version of the document, with
+// items on the route of a prefix.
+func (f *fixture) submitBy(document uint64, prefix, id string, items int) error {
+	spec := &jobs.Spec{ID: id, Workspace: "w", Route: "lots", Host: "h", CompletionMS: 60_000, MaxWaitMS: 60_000, MaxAttempts: 2, Document: document}
 	for i := range items {
 		spec.Items = append(spec.Items, jobs.Item{
-			ID: fmt.Sprintf("%s-%d", id, i), Path: fmt.Sprintf("/lots/%d", i), Body: []byte("body"), Tokens: 100,
+			ID: fmt.Sprintf("%s-%d", id, i), Path: fmt.Sprintf("%s%d", prefix, i), Body: []byte("body"), Tokens: 100,
 			Headers: []jobs.Header{{Name: "X-Model", Value: "m"}, {Name: "X-Workspace", Value: "forged"}},
 		})
 	}
@@ -252,6 +258,27 @@
 	assert.Equal(t, jobs.Abandoned, f.waitForResults("j", 1)[0].State)
 }
 
+// Guards against items on a route that has just been added and that are abandoned for good,
+// because the storage host carries out their submission before it takes the document by
+// which a gateway accepted it (review/3).
+func TestItemsWaitForDocumentThatTheyWereAcceptedBy(t *testing.T) {
+	f := newFixture(t, standin.Behaviour{Events: 3})
+	require.NoError(t, f.submitBy(f.revision+2, "/added/", "j", 3))
+	require.NoError(t, f.submit("known", 1))
+	f.waitForResults("known", 1) // the host has looked at the earlier job
+	listed, err := f.host.readResults(t.Context(), &rpc.JobRead{Workspace: "w", Job: "j"})
+	require.NoError(t, err)
+	assert.Empty(t, listed.Results)
+	f.publishCatalog(1) // still older than the document of the job, and without the route
+	require.NoError(t, f.submit("known too", 1))
+	f.waitForResults("known too", 1)
+	f.prefix = "/added/"
+	f.publishCatalog(1)
+	for _, result := range f.waitForResults("j", 3) {
+		assert.Equal(t, jobs.Completed, result.State)
+	}
+}
+
 func TestJobsOfOtherWorkspacesAreNotFound(t *testing.T) {
 	f := newFixture(t)
 	require.NoError(t, f.submit("j", 1))
--- a/services/jobhost/runner.go
+++ b/services/jobhost/runner.go
@@ -49,14 +49,15 @@
 	resumed      metrics.Counter
 	preempted    metrics.Counter
 
-	wg             conc.WaitGroup
-	mu             sync.Mutex
-	running        map[jobs.ItemRef]*itemRun
-	paused         map[jobs.ItemRef]*progress // items that ran before and wait to run again
-	wake           chan struct{}
-	durations      jobs.DurationEstimator
-	lastRetention  time.Time
-	lastCheckpoint time.Time
+	wg              conc.WaitGroup
+	mu              sync.Mutex
+	running         map[jobs.ItemRef]*itemRun
+	paused          map[jobs.ItemRef]*progress // items that ran before and wait to run again
+	wake            chan struct{}
+	durations       jobs.DurationEstimator
+	lastRetention   time.Time
+	awaitedDocument uint64 // newest document of a job whose items had to wait for it
+	lastCheckpoint  time.Time
 }
 
 func newRunner(s *Server, group *replicated.Group[jobs.ApplyResult]) *runner {
--- a/services/jobhost/schedule.go
+++ b/services/jobhost/schedule.go
@@ -8,6 +8,7 @@
 
 	"banyanwalk/core/jobs"
 	"banyanwalk/core/placement"
+	"banyanwalk/core/routing"
 	"banyanwalk/core/streams"
 	"banyanwalk/services/targetcall"
 )
@@ -58,7 +59,8 @@
 
 // startItem starts an item at a target with a spare slot, if there is one. It
 // abandons an item whose maximum wait is over or whose route no longer exists, and
-// notes in pass what has no spare slot.
+// notes in pass what has no spare slot. Before this host has the document by which the
+// job was accepted, it cannot tell a route that no longer exists from a new one.
 func (r *runner) startItem(ctx context.Context, now time.Time, ref jobs.ItemRef, item runnableItem, pass *schedulePass) {
 	job := item.job
 	spec := &item.item
@@ -68,7 +70,8 @@
 		return
 	}
 	table := r.follower.Table()
-	if table == nil {
+	if table == nil || table.Version() < job.Document {
+		r.waitForDocument(table, job)
 		return
 	}
 	path, _, _ := strings.Cut(spec.Path, "?")
@@ -112,6 +115,16 @@
 	r.wg.Go(func() { started.execute(runCtx) })
 }
 
+// waitForDocument logs that the items of a job wait for the document by which the job was
+// accepted, once for each document.
+func (r *runner) waitForDocument(table *routing.Table, job *jobs.Job) {
+	if table == nil || r.awaitedDocument >= job.Document {
+		return
+	}
+	r.awaitedDocument = job.Document
+	r.log.Info("items_await_document", "job", job.ID, "route", job.Route, "document", job.Document, "document_held", table.Version())
+}
+
 // heldTokens returns the tokens that a target may hold for an item.
 func (r *runner) heldTokens(item *jobs.Item) int64 {
 	if r.server.cfg.ItemTokens == nil {
