Refuse what does not fit one frame where it is accepted

What callers saw: a job whose specification exceeds a frame by its encoding (16 MiB of JSON are taken) got 503 no_quorum after 2.5 s, and so again at each return. A routing document of 15 to 32 MiB was acknowledged by the leader of control, refused by the others, and might reach no follower. A page of results was bounded by its texts, not by the ids of its items.

Change: body_too_large is final for a submission (413); control refuses documents of more than 15 MiB with body_too_large; ids count towards a page.

Measured: TestSubmissionBeyondOneFrameIsRefused, TestDocumentBeyondOneFrameIsRefused and TestPageOfResultsIsBoundedByItsIDs fail before the change and pass after it.

--- a/services/director/director.go
+++ b/services/director/director.go
@@ -38,6 +38,9 @@
 	// twice as much is in memory, because each entry may hold a whole document of
 	// several hundred kilobytes.
 	snapshotBytes = 4 << 20
+	// maxDocumentBytes bounds a document: hosts forward it to the leader, and push it to
+	// followers, in one frame, the latter along with the rest of the catalog.
+	maxDocumentBytes = wire.MaxFrameBytes - 1<<20
 	// commandTimeout bounds an operator's command. Operators turn to another host
 	// after one second.
 	commandTimeout = 900 * time.Millisecond
@@ -250,6 +253,10 @@
 // PutDocument validates a document and activates it if its version is the
 // highest. body is its canonical encoding, which Document returns.
 func (s *Server) PutDocument(ctx context.Context, d *routing.Document, body []byte) error {
+	if len(body) > maxDocumentBytes {
+		s.log.Warn("document_refused", "version", d.Version, "bytes", len(body), "limit", maxDocumentBytes)
+		return outcome.New(outcome.BodyTooLarge, outcome.NotRun, "a document of %d bytes exceeds %d", len(body), maxDocumentBytes)
+	}
 	if err := d.Validate(); err != nil {
 		s.log.Warn("document_refused", "version", d.Version, "error", err)
 		return outcome.New(outcome.BundleInvalid, outcome.NotRun, "%v", err)
--- a/services/director/director_test.go
+++ b/services/director/director_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"banyanwalk/core/catalog"
 	"banyanwalk/core/outcome"
@@ -19,6 +21,7 @@
 	"banyanwalk/core/routing"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wire"
 	"banyanwalk/services/follow"
 )
 
@@ -259,6 +262,20 @@
 	assert.Less(t, sent.Load(), int64(len(body)/4))
 }
 
+// Guards against a document that the leader accepts though no push to a follower holds it: it
+// was acknowledged and never came into force.
+func TestDocumentBeyondOneFrameIsRefused(t *testing.T) {
+	s, _ := startHost(t)
+	refused := s.PutDocument(t.Context(), document(7), make([]byte, maxDocumentBytes+1))
+	assert.True(t, outcome.IsCode(refused, outcome.BodyTooLarge), "%v", refused)
+	largest := make([]byte, maxDocumentBytes)
+	_, err := rand.NewChaCha8([32]byte{}).Read(largest) // does not compress
+	require.NoError(t, err)
+	pushed, err := msgpack.Marshal(&rpc.FollowPush{Catalog: rpc.PackCatalog(&catalog.State{Version: 7, Body: largest}, nil)})
+	require.NoError(t, err)
+	assert.Less(t, len(pushed), wire.MaxFrameBytes)
+}
+
 func TestCatalogSnapshotRoundTrip(t *testing.T) {
 	one := newCatalogState(func() {})
 	one.machine.Apply(1, catalog.Command{Put: &catalog.PutDocument{Version: 4, Body: []byte("four")}})
--- a/services/entry/jobs.go
+++ b/services/entry/jobs.go
@@ -220,7 +220,7 @@
 // isFinal reports whether every host would return the same failure.
 func isFinal(failure *outcome.Error) bool {
 	switch failure.Code {
-	case outcome.RateLimited, outcome.JobNotFound, outcome.IdempotencyMismatch, outcome.BadRequest:
+	case outcome.RateLimited, outcome.JobNotFound, outcome.IdempotencyMismatch, outcome.BadRequest, outcome.BodyTooLarge:
 		return true
 	default:
 		return false
--- a/services/entry/jobs_test.go
+++ b/services/entry/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -79,6 +80,17 @@
 	return j.machine.Job(id)
 }
 
+// Guards against a submission that fits no frame and is tried at one storage host after
+// another: its caller got 503 no_quorum and came back again and again.
+func TestSubmissionBeyondOneFrameIsRefused(t *testing.T) {
+	j := newJobFixture(t)
+	j.putDocument(func(*routing.Document) {})
+	response, body, err := j.sendWithBody("/lots/1", "job", strings.Repeat("b", maxBodyBytes))
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode, body)
+	assert.Nil(t, j.job("job"))
+}
+
 // Guards against a job without the version of the document that a gateway accepted it by:
 // a storage host whose document is older abandons its items (review/3).
 func TestSubmissionNamesItsDocument(t *testing.T) {
--- a/services/jobhost/handlers.go
+++ b/services/jobhost/handlers.go
@@ -95,10 +95,9 @@
 		size := 0
 		for position := max(0, r.After); position < len(job.Results) && size < maxReadBytes; position++ {
 			result := &job.Results[position]
-			size += len(result.Text)
-			page.Results = append(page.Results, rpc.JobResult{
-				Item: job.Items[result.Item].ID, State: result.State, Text: result.Text,
-			})
+			item := job.Items[result.Item].ID
+			size += len(item) + len(result.Text)
+			page.Results = append(page.Results, rpc.JobResult{Item: item, State: result.State, Text: result.Text})
 		}
 	})
 	if err != nil || !archived || len(page.Results) == 0 {
--- a/services/jobhost/jobhost_test.go
+++ b/services/jobhost/jobhost_test.go
@@ -279,6 +279,24 @@
 	}
 }
 
+// Guards against a page of results that exceeds a frame by the ids of its items.
+func TestPageOfResultsIsBoundedByItsIDs(t *testing.T) {
+	f := newFixture(t)
+	spec := &jobs.Spec{ID: "j", Workspace: "w", Route: "lots", Host: "h"}
+	for n := range 3 {
+		spec.Items = append(spec.Items, jobs.Item{ID: strings.Repeat(fmt.Sprint(n), maxReadBytes), Path: "/nowhere/"})
+	}
+	_, err := f.host.submit(t.Context(), spec)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		page, err := f.host.readResults(t.Context(), &rpc.JobRead{Workspace: "w", Job: "j", After: 2})
+		return err == nil && len(page.Results) == 1
+	}, eventuallyTimeout, time.Millisecond)
+	page, err := f.host.readResults(t.Context(), &rpc.JobRead{Workspace: "w", Job: "j"})
+	require.NoError(t, err)
+	assert.Equal(t, 1, len(page.Results), "results in the first page") //nolint:testifylint // Len prints megabytes
+}
+
 func TestJobsOfOtherWorkspacesAreNotFound(t *testing.T) {
 	f := newFixture(t)
 	require.NoError(t, f.submit("j", 1))
