services/entry: tell the workspace of a call in one place

Cause: authenticate returned before it looked at the key if the route is public, so the job was stored without a workspace; admitJobCall took the workspace of the key. Ruled out: the change of the document by itself (a route that is public from the beginning fails alike).

Change: identify is the only function that tells a call's workspace. A key names it on public routes, too. A job is handed in with a known key, or on a public route without one. The store asks jobs.Job.IsOpenTo in all places; a job without a workspace is open to all, also after a document has brought workspaces. A call without a key that finds nothing gets 401, not 404.

Related paths looked at: online requests on public routes (same fault), jobs from before there were workspaces (same), tokens, shares, streams, suspects and logs, which take the call's workspace, and the other product.

--- a/core/jobs/jobs.go
+++ b/core/jobs/jobs.go
@@ -85,6 +85,10 @@
 	Writer uint64 `msgpack:"w,omitempty"`
 }
 
+// IsOpenTo reports whether a workspace may read and end the job. One that was handed in
+// without a key, or before there were workspaces, is open to all.
+func (j *Job) IsOpenTo(workspace string) bool { return j.Workspace == "" || j.Workspace == workspace }
+
 // Open reports whether an item still needs a result.
 func (j *Job) Open(item int) bool { return !j.Ended && !j.HasResult[item] }
 
--- a/core/jobs/machine.go
+++ b/core/jobs/machine.go
@@ -54,7 +54,7 @@
 // submit accepts a job once. A resend gets an empty result without an error.
 func (m *Machine) submit(s *Spec) ApplyResult {
 	if known := m.jobs[s.ID]; known != nil {
-		if known.Workspace != s.Workspace {
+		if !known.IsOpenTo(s.Workspace) {
 			return ApplyResult{Error: outcome.New(outcome.IdempotencyMismatch, outcome.NotRun, "job %q belongs to another workspace", s.ID)}
 		}
 		return ApplyResult{}
@@ -170,7 +170,7 @@
 
 func (m *Machine) end(e *EndJob) ApplyResult {
 	job := m.jobs[e.Job]
-	if job == nil || job.Workspace != e.Workspace {
+	if job == nil || !job.IsOpenTo(e.Workspace) {
 		return ApplyResult{Error: outcome.New(outcome.JobNotFound, outcome.NotRun, "no job %q", e.Job)}
 	}
 	if !job.Ended {
--- a/services/entry/handle.go
+++ b/services/entry/handle.go
@@ -31,7 +31,7 @@
 	started   time.Time
 	deadline  time.Time // the earlier of the caller's deadline and the route's timeout
 	route     *routing.Route
-	workspace *routing.Workspace // nil on public routes
+	workspace *routing.Workspace // that holds the call's key; nil: there is none
 	table     *routing.Table
 	parts     []string // ids of the parts of the prompt that other requests may share
 	tokens    int64    // that a target may hold for the request; 0: unknown
@@ -120,7 +120,7 @@
 	if c.route == nil {
 		return c, outcome.New(outcome.UnknownRoute, outcome.NotRun, "no route for this host and path")
 	}
-	if err := s.authenticate(ctx, c); err != nil {
+	if err := s.identify(ctx, c, c.keyPolicy()); err != nil {
 		return c, err
 	}
 	c.deadline = s.deadline(ctx, c)
@@ -163,19 +163,45 @@
 	return string(path)
 }
 
-func (s *Server) authenticate(ctx *fasthttp.RequestCtx, c *call) error {
-	if c.route.Public || !c.table.RequiresKeys() {
+// keyPolicy is what a call needs of its key.
+type keyPolicy uint8
+
+const (
+	keyRequired  keyPolicy = iota // of a workspace
+	keyOrNone                     // a call without a key has no workspace; an unknown key is refused
+	keyDisregard                  // a call without a key, or with an unknown one, has no workspace
+)
+
+// identify finds the workspace of a call by its key. It is the only place that does, so that
+// all calls on one job have the same workspace. A public route needs no key, but a key that
+// comes names its workspace all the same.
+func (s *Server) identify(ctx *fasthttp.RequestCtx, c *call, policy keyPolicy) error {
+	if !c.table.RequiresKeys() {
 		return nil
 	}
 	key := string(ctx.Request.Header.Peek(s.cfg.HeaderNames.Key))
-	if key == "" {
-		return outcome.New(outcome.KeyMissing, outcome.NotRun, "no key")
-	}
 	c.workspace = c.table.WorkspaceByKey(key)
-	if c.workspace == nil {
+	switch {
+	case c.workspace != nil || policy == keyDisregard || key == "" && policy == keyOrNone:
+		return nil
+	case key == "":
+		return outcome.New(outcome.KeyMissing, outcome.NotRun, "no key")
+	default:
 		return outcome.New(outcome.KeyUnknown, outcome.NotRun, "the key belongs to no workspace")
 	}
-	return nil
+}
+
+// keyPolicy returns what a route needs of the keys of its calls. A job is handed in with a
+// key that is known or without one: by an unknown one nobody could read it.
+func (c *call) keyPolicy() keyPolicy {
+	switch {
+	case !c.route.Public:
+		return keyRequired
+	case c.route.Kind == routing.Batch:
+		return keyOrNone
+	default:
+		return keyDisregard
+	}
 }
 
 // deadline returns the caller's deadline or the route's timeout, whichever is
--- a/services/entry/jobs.go
+++ b/services/entry/jobs.go
@@ -64,11 +64,10 @@
 
 // admitJobCall authenticates a call on an existing job and stores it for
 // serveJob. It sets a route of kind Batch, which makes handle pass the request to
-// serveJob.
+// serveJob. A call without a key finds only jobs that were handed in without one.
 func (s *Server) admitJobCall(ctx *fasthttp.RequestCtx, c *call, job JobCall) error {
-	key := string(ctx.Request.Header.Peek(s.cfg.HeaderNames.Key))
-	if c.workspace = c.table.WorkspaceByKey(key); c.workspace == nil && c.table.RequiresKeys() {
-		return outcome.New(outcome.KeyUnknown, outcome.NotRun, "the key belongs to no workspace")
+	if err := s.identify(ctx, c, keyOrNone); err != nil {
+		return err
 	}
 	c.route = &routing.Route{Name: "jobs", Kind: routing.Batch}
 	ctx.SetUserValue(jobCallKey{}, job)
@@ -93,8 +92,17 @@
 		err = s.endJob(ctx, c, job)
 	}
 	if err != nil {
-		s.refuse(ctx, c, outcome.From(err))
+		s.refuse(ctx, c, needsKey(c, outcome.From(err)))
+	}
+}
+
+// needsKey replaces the refusal of a call without a key that finds no job: a call with a
+// key may find it.
+func needsKey(c *call, failure *outcome.Error) *outcome.Error {
+	if failure.Code != outcome.JobNotFound || c.workspace != nil || !c.table.RequiresKeys() {
+		return failure
 	}
+	return outcome.New(outcome.KeyMissing, failure.Outcome, "no key; %s", failure.Message)
 }
 
 func (s *Server) submit(ctx *fasthttp.RequestCtx, c *call) error {
--- a/services/jobhost/handlers.go
+++ b/services/jobhost/handlers.go
@@ -86,7 +86,7 @@
 	archived := false
 	s.state.read(func(m *jobs.Machine, _ map[string]time.Time) {
 		job := m.Job(r.Job)
-		if job == nil || job.Workspace != r.Workspace {
+		if job == nil || !job.IsOpenTo(r.Workspace) {
 			err = outcome.New(outcome.JobNotFound, outcome.NotRun, "no job %q", r.Job)
 			return
 		}
@@ -129,7 +129,7 @@
 	found := false
 	s.state.read(func(m *jobs.Machine, _ map[string]time.Time) {
 		job := m.Job(r.Job)
-		if job == nil || job.Workspace != r.Workspace {
+		if job == nil || !job.IsOpenTo(r.Workspace) {
 			return
 		}
 		for i := range job.Items {
