services/director: read only the head of a target's health

What callers saw (report of other operators): an engine sends bytes without end, and the machine that called it runs out of memory. Here the control process ended: a host that starts asks all targets that it knew about their health.

Cause: the HTTP client of that question allocates what Content-Length names; 99,999,999,999 bytes ended the process at once, and a body without a length was kept for 500 ms. Ruled out: gateways, which bound head and body.

Change: the question is asked over targetconn, whose heads are bounded to 64 KiB; the body is not read.

--- a/services/director/recall.go
+++ b/services/director/recall.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
-	"github.com/valyala/fasthttp"
 
 	"banyanwalk/core/roster"
 	"banyanwalk/infra/pause"
+	"banyanwalk/infra/targetconn"
 )
 
 const (
@@ -106,36 +105,50 @@
 // probe asks the target at an address about its health. It returns how long the
 // target stays cold, or an error unless the target is healthy and has the id.
 func probe(addr, path, id string, headers HealthHeaders) (coldFor time.Duration, err error) {
-	client := &fasthttp.HostClient{
-		Addr: addr,
-		Dial: func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, probeTimeout) },
-	}
-	defer client.CloseIdleConnections()
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + addr + path)
-	request.SetConnectionClose()
-	if err := client.DoTimeout(request, response, probeTimeout); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	response, err := askHealth(ctx, addr, path)
+	if err != nil {
 		return 0, errors.Wrap(err, "ask target")
 	}
-	draining := response.StatusCode() == http.StatusServiceUnavailable || headers.Leaving != "" && string(response.Header.Peek(headers.Leaving)) == "1"
-	if response.StatusCode() != http.StatusOK && !draining {
-		return 0, errors.Newf("status %d", response.StatusCode())
+	draining := response.StatusCode == http.StatusServiceUnavailable || headers.Leaving != "" && response.Header.Get(headers.Leaving) == "1"
+	if response.StatusCode != http.StatusOK && !draining {
+		return 0, errors.Newf("status %d", response.StatusCode)
 	}
-	if found := string(response.Header.Peek(headers.Target)); found != id {
+	if found := response.Header.Get(headers.Target); found != id {
 		return 0, errors.Newf("target %q has the address", found)
 	}
 	if draining {
 		return 0, errDraining
 	}
-	value := response.Header.Peek(headers.ColdFor)
-	if len(value) == 0 {
+	value := response.Header.Get(headers.ColdFor)
+	if value == "" {
 		return 0, nil
 	}
-	ms, err := strconv.ParseFloat(string(value), 64)
+	ms, err := strconv.ParseFloat(value, 64)
 	if err != nil {
 		return 0, errors.Wrap(err, "cold time")
 	}
 	return time.Duration(ms * float64(time.Millisecond)), nil
 }
+
+// askHealth asks the target at an address about its health and returns the head of its
+// response, whose size is bounded. The body, which may have no end, is not read.
+func askHealth(ctx context.Context, addr, path string) (*http.Response, error) {
+	conn, err := targetconn.NewPool(addr, 1).Get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	request.Close = true
+	if err := request.Write(conn); err != nil {
+		return nil, err
+	}
+	return conn.ReadResponse(request) // its body ends with the connection
+}
