services/agent: end an attempt whose response has no end

What callers saw: an attempt at a model that sends a body without end was refused after 8 MiB, but did not end: its slot stayed taken and its caller waited until its own deadline.

Cause: closing the body of a response reads it to its end. Change: the body is not closed; its connection is, unless the body was read to its end.

Related paths looked at: targetcall, which does the same already; load reports and orders, whose transport does not drain.

Measured: TestModelResponseWithoutEndFillsMemory fails for 4 of 18 kinds before the change (64 MiB read, where the stub ends) and passes after it.

--- a/services/agent/exchange.go
+++ b/services/agent/exchange.go
@@ -49,11 +49,12 @@
 	// A failed write is not final: a target may respond and close the connection
 	// before it has read the whole request.
 	started := time.Now()
-	response, err := conn.ReadResponse(request)
+	// The body is not closed: Close would read it to its end, which may never come. The
+	// connection is reused only if the body was read to its end, and closed otherwise.
+	response, err := conn.ReadResponse(request) //nolint:bodyclose // see above
 	if err != nil {
 		return connectionBroken(err)
 	}
-	defer response.Body.Close()
 	x.status = response.StatusCode
 	if err := x.checkResponseHead(response); err != nil {
 		return err
