services/jobhost: run an item elsewhere after a refusal

What callers saw: an item on its own was not run for as long as a target refused it, though another one of its service was free.

Cause: a target that refuses all items always has the most free slots, and a refusal is no failure that makes the runner avoid it.

Change: after a refusal the runner asks for another target first.

--- a/services/jobhost/progress.go
+++ b/services/jobhost/progress.go
@@ -34,6 +34,7 @@
 	attempts  int           // failed attempts under this leader
 	runTime   time.Duration // total time of the runs so far
 	fruitless int           // runs in a row that yielded no event
+	refusedBy string        // target that refused the last run; empty: it was not refused
 
 	mu         sync.Mutex
 	writer     uint64         // identifies this text from its beginning here; see jobs.Partial
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -117,7 +117,10 @@
 func (i *itemRun) retryElsewhere(err error) {
 	r := i.runner
 	var failure *targetcall.Failure
-	if !errors.As(err, &failure) || !failure.IsBusy() {
+	i.progress.refusedBy = ""
+	if errors.As(err, &failure) && failure.IsBusy() {
+		i.progress.refusedBy = i.target.ID
+	} else {
 		r.follower.Targets.Failed(time.Now(), i.target.ID)
 	}
 	i.progress.notBefore = time.Now().Add(i.progress.nextRetryDelay(i.startEvent))
--- a/services/jobhost/schedule.go
+++ b/services/jobhost/schedule.go
@@ -8,6 +8,7 @@
 
 	"banyanwalk/core/jobs"
 	"banyanwalk/core/placement"
+	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
 	"banyanwalk/core/streams"
 	"banyanwalk/services/targetcall"
@@ -97,7 +98,7 @@
 	if !r.bindVersion(now, ref, itemProgress, &query, pass) {
 		return
 	}
-	target, _ := r.follower.Targets.Acquire(now, query)
+	target := r.acquireTarget(now, query, itemProgress.refusedBy)
 	if target == nil {
 		pass.setFull(&query)
 		return
@@ -115,6 +116,20 @@
 	r.wg.Go(func() { started.execute(runCtx) })
 }
 
+// acquireTarget acquires a slot for an item, at another target than the one that refused it
+// last, if there is one: a target that refuses all items always has the most free slots.
+func (r *runner) acquireTarget(now time.Time, query placement.Query, refusedBy string) *roster.Record {
+	if refusedBy != "" {
+		others := query
+		others.Exclude = map[string]bool{refusedBy: true}
+		if target, _ := r.follower.Targets.Acquire(now, others); target != nil {
+			return target
+		}
+	}
+	target, _ := r.follower.Targets.Acquire(now, query)
+	return target
+}
+
 // waitForDocument logs that the items of a job wait for the document by which the job was
 // accepted, once for each document.
 func (r *runner) waitForDocument(table *routing.Table, job *jobs.Job) {
