Take no response without event ids for the rest of a stream

Here the text of an item could hold any 200 response of the second target, and was listed as completed; a resumable stream of a gateway took events without ids.

Cause: ids of events were compared only where both have one, and the type of the response to a resumed item was not looked at. Ruled out: heads and texts of other statuses, which reach neither callers nor items at any point and in any framing.

Change: data without an id does not follow an event with one, and a resumed item's response must be an event stream.

Related paths looked at: streams that aren't resumable (they have no second target), the other product's relay (ends the stream with an error event).

--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"syscall"
 	"time"
 
@@ -33,7 +32,6 @@
 	// noTargetRetryAfter is the Retry-After of a request that no target could
 	// take. Slots become free about every 100 ms.
 	noTargetRetryAfter = 300 * time.Millisecond
-	eventStream        = "text/event-stream"
 )
 
 var errCallerGone = errors.New("the caller closed its connection")
@@ -164,8 +162,7 @@
 
 // isStream reports whether the response is forwarded event by event.
 func (f *forwarding) isStream() bool {
-	mediaType, _, _ := strings.Cut(f.response.Header.Get("Content-Type"), ";")
-	return strings.TrimSpace(mediaType) == eventStream && f.response.Status == http.StatusOK
+	return f.response.IsEventStream() && f.response.Status == http.StatusOK
 }
 
 // shouldRetryStatus reports whether to retry on another target after a target
--- a/services/entry/read_ahead_test.go
+++ b/services/entry/read_ahead_test.go
@@ -28,7 +28,7 @@
 		id := r.Header.Get(headerNames.RequestID)
 		w.Header().Set(headerNames.RequestID, id)
 		w.Header().Set(headerNames.Signature, "s")
-		w.Header().Set("Content-Type", eventStream)
+		w.Header().Set("Content-Type", "text/event-stream")
 		filler := strings.Repeat("x", 1000)
 		for n := range events {
 			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n+1, filler); err != nil {
--- a/services/entry/stream.go
+++ b/services/entry/stream.go
@@ -82,7 +82,7 @@
 		switch {
 		case err == nil && event.ID > 0 && event.ID <= r.lastID:
 			continue // a resuming target may repeat events already sent
-		case err == nil && event.ID > 0 && r.lastID > 0 && event.ID != r.lastID+1 && r.f.call.route.Resumable:
+		case err == nil && r.lastID > 0 && r.f.call.route.Resumable && !event.GoesOn(r.lastID):
 			err = targetcall.ErrEventGap
 		case err == nil:
 			if event.ID > 0 {
--- a/services/jobhost/progress.go
+++ b/services/jobhost/progress.go
@@ -42,7 +42,8 @@
 	origin     streams.Origin // where the text began, and may go on; set with the first event
 	versionFor time.Time      // since when no target of that version takes requests; zero: one does
 	text       []byte
-	lastEvent  int64 // id of the last event in text
+	lastEvent  int64 // id of the last event in text; their number, if they have none
+	hasIDs     bool  // whether events have ids, as far as this process has seen any
 	savedEvent int64 // id of the last event that is committed or queued
 	savedBytes int   // length of the text that is committed or queued
 }
@@ -73,9 +74,10 @@
 	if e.ID != 0 && e.ID <= p.lastEvent {
 		return nil // a target may repeat events when it resumes
 	}
-	if e.ID != 0 && p.lastEvent != 0 && e.ID != p.lastEvent+1 {
+	if p.lastEvent != 0 && !e.GoesOn(p.lastEvent) && (e.ID != 0 || p.hasIDs) {
 		return targetcall.ErrEventGap
 	}
+	p.hasIDs = p.hasIDs || e.ID != 0
 	if len(p.text)+len(e.Data) >= maxTextBytes {
 		p.beginAgain()
 		return errTextTooLong
@@ -119,7 +121,7 @@
 // beginAgain drops the text. The caller holds the lock.
 func (p *progress) beginAgain() {
 	p.text, p.lastEvent, p.savedEvent, p.savedBytes, p.versionFor = nil, 0, 0, 0, time.Time{}
-	p.writer, p.former = rand.Uint64(), 0
+	p.writer, p.former, p.hasIDs = rand.Uint64(), 0, false
 }
 
 // lastEventID returns the id of the last event.
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -147,6 +147,9 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(response, maxErrorBytes)) // only the status counts
 		return response.Status, errors.Newf("status %d", response.Status)
 	}
+	if i.startEvent > 0 && !response.IsEventStream() {
+		return 0, errors.Newf("the resumed text was answered with %q", response.Header.Get("Content-Type"))
+	}
 	events := targetcall.NewEventReader(response)
 	origin := streams.Origin{Service: i.target.Service, Version: i.target.Version}
 	for {
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -42,6 +42,7 @@
 	maxSyncWriteBytes = 8 << 10
 	// poolIdleTimeout is how long the connection pool of a target is kept unused.
 	poolIdleTimeout = 30 * time.Second
+	eventStream     = "text/event-stream"
 )
 
 // Failure describes why a target gave no response that may be passed on.
@@ -249,6 +250,12 @@
 	return encoding != "" && !strings.EqualFold(encoding, "identity")
 }
 
+// IsEventStream reports whether the body consists of events.
+func (resp *Response) IsEventStream() bool {
+	mediaType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	return strings.TrimSpace(mediaType) == eventStream
+}
+
 // Read reads the body. io.EOF means that it is complete.
 func (resp *Response) Read(p []byte) (int, error) {
 	n, err := resp.body.Read(p)
--- a/services/targetcall/events.go
+++ b/services/targetcall/events.go
@@ -27,6 +27,15 @@
 	Data []byte // data lines joined by line feeds; valid until the next call of Next
 }
 
+// GoesOn reports whether the event may follow the one with the id last, in a stream whose
+// events have consecutive ids. Data without an id is no part of such a stream.
+func (e *Event) GoesOn(last int64) bool {
+	if e.ID == 0 {
+		return len(e.Data) == 0
+	}
+	return e.ID == last+1
+}
+
 // EventReader splits a stream into complete events.
 type EventReader struct {
 	source   io.Reader
