Send what is queued when a process stops

Releases of slots, reports of crashes and of streams that were queued at the end were dropped: a slot stays taken until its request's deadline, a crashing request costs one more target, and a stream that is taken up again has no known beginning. An operator's order in progress at a stopping control host was cut when the listener closed.

Cause: the senders returned as soon as their context ended; the HTTP server of control, readiness and metrics returned when its listener closed.

--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -196,14 +196,16 @@
 	server := &fasthttp.Server{
 		Handler: handler, NoDefaultServerHeader: true, MaxRequestBodySize: maxRequestBodyBytes, CloseOnShutdown: true, Logger: telemetry.DiscardHTTPLogger{},
 	}
+	drained := make(chan struct{})
 	cancelShutdown := context.AfterFunc(ctx, func() {
+		defer close(drained)
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), httpShutdownTimeout)
 		defer cancel()
 		_ = server.ShutdownWithContext(shutdownCtx) // an error means that requests were still open at the timeout
 	})
-	defer cancelShutdown()
 	err := server.Serve(l)
-	if ctx.Err() != nil {
+	if !cancelShutdown() {
+		<-drained // Serve returns as soon as the listener is closed
 		return nil
 	}
 	return errors.Wrap(err, "serve http")
--- a/services/crashreport/reporter.go
+++ b/services/crashreport/reporter.go
@@ -22,7 +22,9 @@
 	// reportQueue bounds the reports waiting to be sent.
 	reportQueue = 1024
 	// reportBatchDelay lets reports that occur together share a message.
-	reportBatchDelay    = 5 * time.Millisecond
+	reportBatchDelay = 5 * time.Millisecond
+	// lastReportTimeout bounds the last report of a process that stops.
+	lastReportTimeout   = 150 * time.Millisecond
 	reportTimeout       = 600 * time.Millisecond // of one call of a control host
 	reportRetryInterval = 50 * time.Millisecond
 	trialTimeout        = 400 * time.Millisecond // of a question whether a suspect may run
@@ -77,14 +79,27 @@
 	for {
 		select {
 		case <-ctx.Done():
+			if report := r.Take(); report != nil {
+				r.sendLast(ctx, report)
+			}
 			return
 		case first := <-r.queue:
 			pause.For(ctx, reportBatchDelay)
-			r.send(ctx, r.collect(first))
+			report := r.collect(first)
+			if !r.send(ctx, report) && ctx.Err() != nil {
+				r.sendLast(ctx, report)
+			}
 		}
 	}
 }
 
+// sendLast sends a report after ctx has ended, while the process still has a moment.
+func (r *Reporter) sendLast(ctx context.Context, report *rpc.RunsReport) {
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastReportTimeout)
+	defer cancel()
+	r.send(bounded, report)
+}
+
 // Take removes the queued reports and returns them joined, or nil if there are none.
 func (r *Reporter) Take() *rpc.RunsReport {
 	select {
@@ -121,18 +136,19 @@
 	}
 }
 
-// send sends a report to one control host after another until one has logged it.
-func (r *Reporter) send(ctx context.Context, report *rpc.RunsReport) {
+// send sends a report to one control host after another until one has logged it, which it
+// reports.
+func (r *Reporter) send(ctx context.Context, report *rpc.RunsReport) bool {
 	ctx, cancel := context.WithTimeout(ctx, reportExpiry)
 	defer cancel()
 	for {
 		err := r.sendOnce(ctx, report)
 		if err == nil {
-			return
+			return true
 		}
 		if !pause.For(ctx, reportRetryInterval) {
 			r.log.Error("crash_report_failed", "crashes", len(report.Crashes), "completed", len(report.Completed), "ended", len(report.Ended), "error", err)
-			return
+			return false
 		}
 	}
 }
--- a/services/entry/drain.go
+++ b/services/entry/drain.go
@@ -42,6 +42,7 @@
 	case <-ctx.Done():
 	}
 	s.drain(server)
+	_ = l.Close() // the server does not know a listener that it does not serve yet
 	return errors.Wrap(<-ended, "serve callers")
 }
 
--- a/services/entry/drain_test.go
+++ b/services/entry/drain_test.go
@@ -2,16 +2,22 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"banyanwalk/core/streams"
+	"banyanwalk/infra/rpc"
+	"banyanwalk/infra/wire"
 	"banyanwalk/services/standin"
 )
 
@@ -116,3 +122,35 @@
 	assert.NoError(t, <-f.serveErr)
 	assert.Empty(t, f.allRuns())
 }
+
+// Guards against releases, reports of crashes and of streams that are queued when a gateway
+// ends, and lost: slots stay taken until their requests' deadlines, and nobody learns
+// where a stream began.
+func TestLastReportsAreSent(t *testing.T) {
+	f := newFixture(t)
+	var released, begun atomic.Int64
+	f.serveStorage(func(server *wire.Server) {
+		wire.HandleUnary(server, rpc.MethodSlotRelease, func(_ context.Context, r *rpc.SlotRelease) (*rpc.Ack, error) {
+			released.Add(int64(len(r.IDs)))
+			return &rpc.Ack{}, nil
+		})
+		wire.HandleUnary(server, rpc.MethodStreamBegun, func(_ context.Context, r *rpc.StreamsBegun) (*rpc.Ack, error) {
+			begun.Add(int64(len(r.Begun)))
+			return &rpc.Ack{}, nil
+		})
+	})
+	broker := f.follower.StorageHosts()[0].ID
+	ended, end := context.WithCancel(t.Context())
+	end()
+	jobs := newJobClient(f.follower)
+	for n := range uint64(10) { // whichever of the end and the queue a sender sees first
+		slots := newSlots(f.follower, jobs)
+		slots.releases <- release{broker: broker, id: rpc.SlotID{Incarnation: 1, Number: n}}
+		slots.sendReleases(ended)
+		origins := newStreamOrigins(f.follower, jobs, metrics.NewCounter())
+		origins.begun(streams.KeyOf("w", "s"), streams.Origin{Service: "llm"}, false)
+		origins.run(ended)
+	}
+	assert.Equal(t, int64(10), released.Load())
+	assert.Equal(t, int64(10), begun.Load())
+}
--- a/services/entry/origins.go
+++ b/services/entry/origins.go
@@ -117,19 +117,28 @@
 	for {
 		select {
 		case <-ctx.Done():
+			if o.hasUnreported() {
+				o.report(context.WithoutCancel(ctx), lastReportTimeout)
+			}
 			return
 		case <-o.wake:
 		}
 		interval := reportInterval
-		for pause.For(ctx, interval) && !o.report(ctx) {
+		for pause.For(ctx, interval) && !o.report(ctx, reportTimeout) {
 			interval = reportRetryInterval
 		}
 	}
 }
 
+func (o *streamOrigins) hasUnreported() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.unreported) > 0
+}
+
 // report sends the streams that the broker does not know, and reports whether none are
 // left.
-func (o *streamOrigins) report(ctx context.Context) bool {
+func (o *streamOrigins) report(ctx context.Context, timeout time.Duration) bool {
 	o.mu.Lock()
 	sent := slices.Clone(o.unreported)
 	o.mu.Unlock()
@@ -137,9 +146,7 @@
 	if err != nil {
 		return false // they stay for the next broker
 	}
-	bounded, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	if o.jobs.callOnce(bounded, reportTimeout, broker, rpc.MethodStreamBegun, &rpc.StreamsBegun{Begun: sent}, &rpc.Ack{}) != nil {
+	if o.jobs.callOnce(ctx, timeout, broker, rpc.MethodStreamBegun, &rpc.StreamsBegun{Begun: sent}, &rpc.Ack{}) != nil {
 		return false
 	}
 	o.mu.Lock()
--- a/services/entry/slots.go
+++ b/services/entry/slots.go
@@ -24,6 +24,8 @@
 	// releaseBatchDelay lets releases that occur together share a message.
 	releaseBatchDelay = 2 * time.Millisecond
 	releaseTimeout    = 500 * time.Millisecond
+	// lastReportTimeout bounds what a gateway sends when it has served its last request.
+	lastReportTimeout = 100 * time.Millisecond
 	// maxLeavingGrants bounds how many grants of targets that leave are given back. The
 	// broker may know of them later than this gateway.
 	maxLeavingGrants = 3
@@ -227,20 +229,32 @@
 	for {
 		select {
 		case <-ctx.Done():
+			s.sendLastReleases(ctx)
 			return
 		case first := <-s.releases:
 			time.Sleep(releaseBatchDelay)
-			for broker, message := range s.collectReleases(first) {
-				bounded, cancel := context.WithTimeout(ctx, releaseTimeout)
-				// If the release is lost, the slot expires with the request's
-				// deadline.
-				_ = s.jobs.callOnce(bounded, releaseTimeout, broker, rpc.MethodSlotRelease, message, &rpc.Ack{})
-				cancel()
-			}
+			s.sendBatch(context.WithoutCancel(ctx), first, releaseTimeout)
 		}
 	}
 }
 
+// sendLastReleases sends what is queued when the gateway has served its last request.
+func (s *slots) sendLastReleases(ctx context.Context) {
+	select {
+	case first := <-s.releases:
+		s.sendBatch(context.WithoutCancel(ctx), first, lastReportTimeout)
+	default:
+	}
+}
+
+// sendBatch sends the queued releases. If one is lost, its slot expires with the request's
+// deadline.
+func (s *slots) sendBatch(ctx context.Context, first release, timeout time.Duration) {
+	for broker, message := range s.collectReleases(first) {
+		_ = s.jobs.callOnce(ctx, timeout, broker, rpc.MethodSlotRelease, message, &rpc.Ack{})
+	}
+}
+
 // collectReleases groups the queued releases by broker.
 func (s *slots) collectReleases(next release) map[uint64]*rpc.SlotRelease {
 	messages := make(map[uint64]*rpc.SlotRelease)
