services/director: the question about health returns no open body

The linter's bodyclose found the response of askHealth, which leaves the function without its connection; it returns the status and the header instead.

--- a/services/director/recall.go
+++ b/services/director/recall.go
@@ -107,21 +107,21 @@
 func probe(addr, path, id string, headers HealthHeaders) (coldFor time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	response, err := askHealth(ctx, addr, path)
+	status, header, err := askHealth(ctx, addr, path)
 	if err != nil {
 		return 0, errors.Wrap(err, "ask target")
 	}
-	draining := response.StatusCode == http.StatusServiceUnavailable || headers.Leaving != "" && response.Header.Get(headers.Leaving) == "1"
-	if response.StatusCode != http.StatusOK && !draining {
-		return 0, errors.Newf("status %d", response.StatusCode)
+	draining := status == http.StatusServiceUnavailable || headers.Leaving != "" && header.Get(headers.Leaving) == "1"
+	if status != http.StatusOK && !draining {
+		return 0, errors.Newf("status %d", status)
 	}
-	if found := response.Header.Get(headers.Target); found != id {
+	if found := header.Get(headers.Target); found != id {
 		return 0, errors.Newf("target %q has the address", found)
 	}
 	if draining {
 		return 0, errDraining
 	}
-	value := response.Header.Get(headers.ColdFor)
+	value := header.Get(headers.ColdFor)
 	if value == "" {
 		return 0, nil
 	}
@@ -132,23 +132,27 @@
 	return time.Duration(ms * float64(time.Millisecond)), nil
 }
 
-// askHealth asks the target at an address about its health and returns the head of its
-// response, whose size is bounded. The body, which may have no end, is not read.
-func askHealth(ctx context.Context, addr, path string) (*http.Response, error) {
+// askHealth asks the target at an address about its health and returns the status and the
+// header of its response, whose size is bounded. The body, which may have no end, is not read.
+func askHealth(ctx context.Context, addr, path string) (status int, header http.Header, err error) {
 	conn, err := targetconn.NewPool(addr, 1).Get(ctx)
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, http.NoBody)
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	request.Close = true
 	if err := request.Write(conn); err != nil {
-		return nil, err
+		return 0, nil, err
 	}
-	return conn.ReadResponse(request) // its body ends with the connection
+	response, err := conn.ReadResponse(request) //nolint:bodyclose // Close would read the body; it ends with the connection
+	if err != nil {
+		return 0, nil, err
+	}
+	return response.StatusCode, response.Header, nil
 }
