services/standin: one listener serves the raw and the endless target

Change: both targets embed connListener; endRequests is abortRequests. No behaviour, bound or assertion changes.

--- a/services/entry/drain.go
+++ b/services/entry/drain.go
@@ -65,9 +65,9 @@
 		time.Sleep(min(left, drainPollInterval))
 	}
 	if time.Now().Before(serveUntil) {
-		defer time.AfterFunc(time.Until(serveUntil), s.endRequests).Stop()
+		defer time.AfterFunc(time.Until(serveUntil), s.abortRequests).Stop()
 	} else {
-		s.endRequests()
+		s.abortRequests()
 	}
 	bounded, cancel := context.WithDeadline(context.Background(), startedAt.Add(s.cfg.Grace*answerParts/graceParts))
 	defer cancel()
@@ -75,9 +75,9 @@
 	s.log.Info("gateway_drained", "open", s.openRequests.Load(), "connections", s.openConns.Load(), "after_ms", time.Since(startedAt).Milliseconds(), "error", err)
 }
 
-// endRequests ends all requests that run. Their callers get an answer that tells whether
+// abortRequests ends all requests that run. Their callers get an answer that tells whether
 // the request may have run.
-func (s *Server) endRequests() {
+func (s *Server) abortRequests() {
 	s.rejecting.Store(true)
 	s.log.Warn("requests_ended", "open", s.openRequests.Load(), "reason", errGatewayStops)
 	s.endLifetime(errGatewayStops)
--- a/services/standin/endless.go
+++ b/services/standin/endless.go
@@ -5,29 +5,21 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc"
-
 	"banyanwalk/services/targetcall"
 )
 
 // Endless is a stub target that reads the head of a request and sends bytes without end,
 // until the connection is closed. It is safe for concurrent use.
 type Endless struct {
+	*connListener
 	Addr     string
 	headers  targetcall.HeaderNames
 	response EndlessResponse
-	listener net.Listener
 	most     atomic.Int64
 	requests atomic.Int64
-	serving  conc.WaitGroup
-
-	mu    sync.Mutex
-	conns []net.Conn
 }
 
 // EndlessResponse is Start and then Filler again and again. "ID" in Start stands for the id
@@ -70,26 +62,15 @@
 
 // NewEndless starts an endless target. Close stops it.
 func NewEndless(headers targetcall.HeaderNames, response EndlessResponse) (*Endless, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listenLoopback()
 	if err != nil {
-		return nil, errors.Wrap(err, "listen for endless target")
+		return nil, err
 	}
-	e := &Endless{Addr: l.Addr().String(), headers: headers, response: response, listener: l}
-	e.serving.Go(e.accept)
+	e := &Endless{connListener: l, Addr: l.addr(), headers: headers, response: response}
+	l.start(e.serve)
 	return e, nil
 }
 
-// Close stops the target and closes its connections.
-func (e *Endless) Close() {
-	_ = e.listener.Close()
-	e.mu.Lock()
-	for _, conn := range e.conns {
-		_ = conn.Close()
-	}
-	e.mu.Unlock()
-	e.serving.Wait()
-}
-
 // Requests returns the number of requests so far.
 func (e *Endless) Requests() int64 { return e.requests.Load() }
 
@@ -97,21 +78,7 @@
 // of the sockets on both sides hold some megabytes of them.
 func (e *Endless) Most() int64 { return e.most.Load() }
 
-func (e *Endless) accept() {
-	for {
-		conn, err := e.listener.Accept()
-		if err != nil {
-			return
-		}
-		e.mu.Lock()
-		e.conns = append(e.conns, conn)
-		e.mu.Unlock()
-		e.serving.Go(func() { e.serve(conn) })
-	}
-}
-
 func (e *Endless) serve(conn net.Conn) {
-	defer conn.Close()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
