infra/wal: accept writes again after a failed write or sync

What callers saw: the disks of control hosts (storage hosts) are full for 3 s each, one after another. Long after the last has room again, no change is acknowledged (CONFIG) and accepted jobs cannot be read (LOST).

Cause: the log kept its first write error and refused all later writes, so each full disk cost a replica until its process started again. Class: one error taken as final for all writes. Beside it, a process that opened a log relied on frames that a killed predecessor may not have synced.

A frame whose write failed is cut off. After a failed sync nothing is appended to that file any more, as the system may drop its pages and report the next sync as successful: the next frame starts a new segment, which supersedes what the old file holds from that sequence number on. A process that opens a log syncs what it has read and goes on in a new segment. Files that cannot be removed fail no write. durable.FS lets tests make a disk fail; durabletest.Disk loses power, too.

FuzzScanSegment takes the sequence number at which a segment ends in place of "last".

Evidence: TestLogAcceptsWritesOnceDiskHasRoomAgain and TestNothingAcknowledgedIsLostByFailingDisk (1000 checks, with failed writes and syncs, restarts and power losses).

--- a/infra/archive/archive.go
+++ b/infra/archive/archive.go
@@ -105,7 +105,7 @@
 		if a.contains(file) {
 			continue
 		}
-		err := durable.WriteAtomic(filepath.Join(a.dir, file), func(f io.Writer) error { return writeTexts(f, entries[i].Texts) })
+		err := durable.WriteAtomic(durable.OS{}, filepath.Join(a.dir, file), func(f io.Writer) error { return writeTexts(f, entries[i].Texts) })
 		if err != nil {
 			return err
 		}
--- a/infra/wal/directory.go
+++ b/infra/wal/directory.go
@@ -24,7 +24,7 @@
 // createLogDir creates an empty log directory with a new incarnation. The
 // directory is renamed to its final name only after its contents are synced, so
 // that a crash leaves no incomplete log.
-func createLogDir(dir string) error {
+func createLogDir(fs durable.FS, dir string) error {
 	tempDir := filepath.Join(dir, tempDirName)
 	if err := os.RemoveAll(tempDir); err != nil {
 		return errors.Wrap(err, "remove unfinished directory")
@@ -37,7 +37,7 @@
 		return err
 	}
 	text := formatIncarnation(incarnation)
-	if err := durable.WriteFile(filepath.Join(tempDir, incarnationName), []byte(text)); err != nil {
+	if err := durable.WriteFile(fs, filepath.Join(tempDir, incarnationName), []byte(text)); err != nil {
 		return err
 	}
 	payload, err := encodeRecord(&record{})
@@ -45,13 +45,13 @@
 		return err
 	}
 	frame := appendFrame(nil, incarnation, 1, payload)
-	if err := durable.WriteFile(segmentPath(tempDir, 1), frame); err != nil {
+	if err := durable.WriteFile(fs, segmentPath(tempDir, 1), frame); err != nil {
 		return err
 	}
-	if err := os.Rename(tempDir, filepath.Join(dir, logDirName)); err != nil {
+	if err := fs.Rename(tempDir, filepath.Join(dir, logDirName)); err != nil {
 		return errors.Wrap(err, "rename directory")
 	}
-	return durable.SyncDir(dir)
+	return fs.SyncDir(dir)
 }
 
 // newIncarnation returns a random number other than zero.
--- a/infra/wal/segment.go
+++ b/infra/wal/segment.go
@@ -59,14 +59,15 @@
 	maxIndex     uint64
 }
 
-// scanSegment calls visit with each record of a segment. Only the last segment may
-// end in a torn frame.
-func scanSegment(data []byte, incarnation, first uint64, last bool, visit func(*record)) (scanResult, error) {
+// scanSegment calls visit with each record of a segment up to sequence number end,
+// with which the next segment starts; whatever follows was not synced when that
+// segment was started. end is zero for the last segment, which may end in a torn frame.
+func scanSegment(data []byte, incarnation, first, end uint64, visit func(*record)) (scanResult, error) {
 	s := scanResult{nextSequence: first}
-	for s.size < len(data) {
+	for s.size < len(data) && (end == 0 || s.nextSequence < end) {
 		payload, size, ok := readFrame(data[s.size:], incarnation, s.nextSequence)
 		if !ok {
-			if !last || hasFrameAfter(data[s.size:], incarnation, s.nextSequence) {
+			if end != 0 || hasFrameAfter(data[s.size:], incarnation, s.nextSequence) {
 				return s, errors.Wrapf(ErrDamaged, "invalid frame %d at byte %d of segment %d", s.nextSequence, s.size, first)
 			}
 			return s, nil
--- a/infra/wal/snapshot.go
+++ b/infra/wal/snapshot.go
@@ -19,17 +19,18 @@
 }
 
 // WriteSnapshot writes a snapshot file and makes it durable. It may run
-// concurrently with Save. Compact makes the snapshot the current one.
+// concurrently with Save. Compact makes the snapshot the current one. After an error
+// it may be called again.
 func (l *Log) WriteSnapshot(s raft.Snapshot) error {
 	payload, err := msgpack.Marshal(&s)
 	if err != nil {
-		return errors.Wrap(err, "encode snapshot")
+		return errors.Wrapf(ErrPermanent, "encode snapshot: %v", err)
 	}
 	if len(payload) > maxPayload {
-		return errors.Newf("wal: snapshot of %d bytes is too large", len(payload))
+		return errors.Wrapf(ErrPermanent, "snapshot of %d bytes is too large", len(payload))
 	}
 	head := appendFrameHeader(nil, l.incarnation, s.Index, payload)
-	return durable.WriteFile(snapshotPath(l.dir, s.Index, s.Term), head, payload)
+	return durable.WriteFile(l.options.FS, snapshotPath(l.dir, s.Index, s.Term), head, payload)
 }
 
 // readSnapshot reads the snapshot file that ref identifies. It returns an empty
@@ -59,7 +60,7 @@
 // removeSnapshots removes the snapshot files that precede the previous snapshot.
 // When the directory is being opened it also removes every other snapshot file that
 // is not referenced, and temporary files of interrupted writes.
-func removeSnapshots(dir string, previous, current snapshotRef, opening bool) error {
+func removeSnapshots(fs durable.FS, dir string, previous, current snapshotRef, opening bool) error {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return errors.Wrap(err, "list snapshots")
@@ -77,7 +78,7 @@
 		if !stale {
 			continue
 		}
-		if err := os.Remove(filepath.Join(dir, entry.Name())); err != nil {
+		if err := fs.Remove(filepath.Join(dir, entry.Name())); err != nil {
 			return errors.Wrap(err, "remove snapshot")
 		}
 	}
--- a/infra/wal/wal.go
+++ b/infra/wal/wal.go
@@ -15,6 +15,10 @@
 // may start again.
 var ErrDamaged = errors.New("wal: log is damaged, synced data is lost")
 
+// ErrPermanent means that a write can never succeed, because its data cannot be
+// encoded or is too large, or because the log is closed.
+var ErrPermanent = errors.New("wal: write cannot succeed")
+
 // DefaultSegmentBytes is the size at which a segment is closed and the next one is
 // started.
 const DefaultSegmentBytes = 16 << 20
@@ -22,6 +26,10 @@
 // Options configures a log. Zero values select the defaults.
 type Options struct {
 	SegmentBytes int
+	FS           durable.FS
+	// CleanupFailed is called when files that are no longer needed cannot be removed.
+	// The next compaction tries again.
+	CleanupFailed func(error)
 }
 
 // Recovered is the state that Open read from the directory.
@@ -48,12 +56,17 @@
 
 // Log is the open log of one replica. Its methods must not be called concurrently,
 // except for WriteSnapshot, which may run beside another method.
+//
+// An error of Save, Compact or WriteSnapshot means that nothing of the call may be
+// relied on. Unless it is ErrPermanent or ErrDamaged, the call may be repeated: the
+// log first makes its last segment fit for the next frame (see prepareTail).
 type Log struct {
 	dir          string
 	options      Options
 	incarnation  uint64
 	lockFile     *os.File
-	tailFile     *os.File
+	tailFile     durable.File
+	tailState    tailState
 	tailSize     int
 	nextSequence uint64 // sequence of the next frame
 	segments     []segment
@@ -61,26 +74,40 @@
 	snapshotRef  snapshotRef
 	previousRef  snapshotRef // current before snapshotRef
 	buffer       []byte
-	writeErr     error
+	closed       bool
 	stats        Stats
 }
 
+func (o *Options) setDefaults() {
+	if o.SegmentBytes <= 0 {
+		o.SegmentBytes = DefaultSegmentBytes
+	}
+	if o.FS == nil {
+		o.FS = durable.OS{}
+	}
+	if o.CleanupFailed == nil {
+		o.CleanupFailed = func(error) {}
+	}
+}
+
 // Open opens the log in dir. If dir holds none, it creates one with a new
 // incarnation. It truncates a torn tail and returns ErrDamaged if other data is
 // missing or corrupt.
 func Open(dir string, options Options) (*Log, Recovered, error) {
-	if options.SegmentBytes <= 0 {
-		options.SegmentBytes = DefaultSegmentBytes
-	}
+	options.setDefaults()
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return nil, Recovered{}, errors.Wrap(err, "create data directory")
 	}
 	logDir := filepath.Join(dir, logDirName)
 	if _, err := os.Stat(logDir); errors.Is(err, os.ErrNotExist) {
-		if err := createLogDir(dir); err != nil {
+		if err := createLogDir(options.FS, dir); err != nil {
 			return nil, Recovered{}, err
 		}
 	}
+	// A process that was killed may have left the directory unsynced.
+	if err := options.FS.SyncDir(dir); err != nil {
+		return nil, Recovered{}, err
+	}
 	lock, err := lockDir(logDir)
 	if err != nil {
 		return nil, Recovered{}, err
@@ -110,7 +137,7 @@
 	if err != nil {
 		return Recovered{}, err
 	}
-	if err := removeSnapshots(l.dir, state.previousRef, state.snapshotRef, true); err != nil {
+	if err := removeSnapshots(l.options.FS, l.dir, state.previousRef, state.snapshotRef, true); err != nil {
 		return Recovered{}, err
 	}
 	return Recovered{
@@ -142,8 +169,11 @@
 		if err != nil {
 			return 0, errors.Wrapf(ErrDamaged, "read segment: %v", err)
 		}
-		last := i == len(segments)-1
-		s, err := scanSegment(data, l.incarnation, segments[i].firstSequence, last, state.apply)
+		end := uint64(0)
+		if i+1 < len(segments) {
+			end = segments[i+1].firstSequence
+		}
+		s, err := scanSegment(data, l.incarnation, segments[i].firstSequence, end, state.apply)
 		if err != nil {
 			return 0, err
 		}
@@ -159,45 +189,48 @@
 	return tornBytes, l.openTail(tornBytes)
 }
 
-// openTail truncates a torn tail and opens the last segment for appending. If the
-// last segment has no valid frame, nothing in it was acknowledged: it is removed and
-// a new segment is started.
+// openTail truncates a torn tail and opens the last segment. If the last segment has
+// no valid frame, nothing in it was acknowledged, and it is removed. What was read may
+// not be on disk yet if the process that wrote it was killed, so the segment and the
+// directory are synced.
 func (l *Log) openTail(tornBytes int) error {
+	l.tailState = tailEnded
 	last := l.segments[len(l.segments)-1]
 	if l.tailSize == 0 {
-		if len(l.segments) == 1 {
-			return errors.Wrap(ErrDamaged, "the only segment is torn at its start")
-		}
-		if err := os.Remove(last.path); err != nil {
-			return errors.Wrap(err, "remove unfinished segment")
-		}
-		l.segments = l.segments[:len(l.segments)-1]
-		if err := durable.SyncDir(l.dir); err != nil {
-			return err
-		}
-		return l.startSegment()
+		return l.removeEmptyTail(last)
 	}
-	tail, err := os.OpenFile(last.path, os.O_WRONLY|os.O_APPEND, fileMode)
+	tail, err := l.options.FS.OpenFile(last.path, os.O_WRONLY|os.O_APPEND, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "open last segment")
 	}
 	l.tailFile = tail
-	if tornBytes == 0 {
-		return nil
+	if tornBytes > 0 {
+		if err := l.cutTail(); err != nil {
+			return err
+		}
 	}
-	if err := tail.Truncate(int64(l.tailSize)); err != nil {
-		return errors.Wrap(err, "cut torn tail")
+	if err := tail.Sync(); err != nil {
+		return errors.Wrap(err, "sync last segment")
 	}
-	return errors.Wrap(tail.Sync(), "sync truncated segment")
+	return l.options.FS.SyncDir(l.dir)
 }
 
-// Save makes a batch durable with one frame and one fsync. After an error the log
-// accepts no more writes, because the state on disk after a failed fsync is unknown.
+func (l *Log) removeEmptyTail(last segment) error {
+	if len(l.segments) == 1 {
+		return errors.Wrap(ErrDamaged, "the only segment is torn at its start")
+	}
+	if err := l.options.FS.Remove(last.path); err != nil {
+		return errors.Wrap(err, "remove unfinished segment")
+	}
+	l.segments = l.segments[:len(l.segments)-1]
+	return l.options.FS.SyncDir(l.dir)
+}
+
+// Save makes a batch durable with one frame and one fsync.
 func (l *Log) Save(b Batch) error {
 	r := &record{HardState: b.HardState, Entries: b.Entries}
 	if b.Snapshot != nil {
 		if err := l.WriteSnapshot(*b.Snapshot); err != nil {
-			l.writeErr = err
 			return err
 		}
 		r.SnapshotRef = &snapshotRef{Index: b.Snapshot.Index, Term: b.Snapshot.Term, Installed: true}
@@ -206,7 +239,7 @@
 		return err
 	}
 	if b.Snapshot != nil {
-		return l.removeObsolete()
+		l.removeObsolete()
 	}
 	return nil
 }
@@ -221,22 +254,19 @@
 	if err := l.write(&record{SnapshotRef: &snapshotRef{Index: index, Term: term}}); err != nil {
 		return err
 	}
-	return l.removeObsolete()
+	l.removeObsolete()
+	return nil
 }
 
 // write appends a record and starts a new segment first if the last one is full.
 func (l *Log) write(r *record) error {
-	if l.writeErr != nil {
-		return l.writeErr
+	if l.closed {
+		return errors.Wrap(ErrPermanent, "the log is closed")
 	}
-	if l.tailSize >= l.options.SegmentBytes {
-		if err := l.startSegment(); err != nil {
-			l.writeErr = err
-			return err
-		}
+	if err := l.prepareTail(); err != nil {
+		return err
 	}
-	if err := l.writeFrame(r); err != nil {
-		l.writeErr = err
+	if err := l.appendFrame(r); err != nil {
 		return err
 	}
 	if r.HardState != nil {
@@ -252,64 +282,109 @@
 	return nil
 }
 
-// writeFrame appends a record to the last segment as one frame and syncs it.
-func (l *Log) writeFrame(r *record) error {
-	payload, err := encodeRecord(r)
-	if err != nil {
-		return errors.Wrap(err, "encode record")
-	}
-	if len(payload) > maxPayload {
-		return errors.Newf("wal: record of %d bytes is too large", len(payload))
+// appendFrame appends a record to the last segment as one frame and syncs it.
+func (l *Log) appendFrame(r *record) error {
+	if err := l.encodeFrame(r); err != nil {
+		return err
 	}
-	l.buffer = appendFrame(l.buffer[:0], l.incarnation, l.nextSequence, payload)
 	if _, err := l.tailFile.Write(l.buffer); err != nil {
+		l.tailState = tailTorn
 		return errors.Wrap(err, "write log")
 	}
 	if err := l.tailFile.Sync(); err != nil {
-		return errors.Wrap(err, "sync log")
+		l.tailState = tailEnded
+		return errors.CombineErrors(errors.Wrap(err, "sync log"), l.cutTail())
 	}
-	l.nextSequence++
+	l.countFrame()
 	l.tailSize += len(l.buffer)
+	return nil
+}
+
+// encodeFrame encodes a record as the next frame into the buffer.
+func (l *Log) encodeFrame(r *record) error {
+	payload, err := encodeRecord(r)
+	if err != nil {
+		return errors.Wrapf(ErrPermanent, "encode record: %v", err)
+	}
+	if len(payload) > maxPayload {
+		return errors.Wrapf(ErrPermanent, "record of %d bytes is too large", len(payload))
+	}
+	l.buffer = appendFrame(l.buffer[:0], l.incarnation, l.nextSequence, payload)
+	return nil
+}
+
+// countFrame counts the frame in the buffer, which is synced.
+func (l *Log) countFrame() {
+	l.nextSequence++
 	l.stats.Syncs++
 	l.stats.Bytes += int64(len(l.buffer))
-	return nil
 }
 
 // startSegment starts a new segment. Its first frame repeats the hard state and the
-// reference to the current snapshot, so that older segments can be removed.
+// reference to the current snapshot, so that older segments can be removed. After an
+// error the previous segment is still the last one.
 func (l *Log) startSegment() error {
+	hs := l.hardState
+	ref := l.snapshotRef
+	ref.Installed = false
+	if err := l.encodeFrame(&record{HardState: &hs, SnapshotRef: &ref}); err != nil {
+		return err
+	}
 	path := segmentPath(l.dir, l.nextSequence)
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, fileMode)
+	f, err := l.createSegment(path)
 	if err != nil {
-		return errors.Wrap(err, "create segment")
+		return err
 	}
 	if l.tailFile != nil {
-		l.tailFile.Close()
+		l.tailFile.Close() // its frames are synced
 	}
 	l.tailFile = f
-	l.tailSize = 0
+	l.tailState = tailAppendable
+	l.tailSize = len(l.buffer)
 	l.segments = append(l.segments, segment{firstSequence: l.nextSequence, path: path})
-	hs := l.hardState
-	ref := l.snapshotRef
-	ref.Installed = false
-	if err := l.writeFrame(&record{HardState: &hs, SnapshotRef: &ref}); err != nil {
-		return err
+	l.countFrame()
+	return nil
+}
+
+// createSegment creates a segment that holds the frame in the buffer and syncs it
+// together with its directory. It replaces the file of a failed attempt.
+func (l *Log) createSegment(path string) (durable.File, error) {
+	if err := l.options.FS.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, errors.Wrap(err, "remove unfinished segment")
+	}
+	f, err := l.options.FS.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return nil, errors.Wrap(err, "create segment")
+	}
+	if _, err = f.Write(l.buffer); err == nil {
+		err = f.Sync()
 	}
-	return durable.SyncDir(l.dir)
+	if err == nil {
+		err = l.options.FS.SyncDir(l.dir)
+	}
+	if err != nil {
+		// Empty, it is not taken for a synced segment by a process that opens the log.
+		err = errors.CombineErrors(errors.Wrap(err, "write first frame of segment"), f.Truncate(0))
+		return nil, errors.CombineErrors(err, f.Close())
+	}
+	return f, nil
 }
 
 // removeObsolete removes the oldest segments whose entries are all covered by the
 // previous snapshot. Data that only the current snapshot supersedes is kept: if the
 // frame that refers to it is truncated as torn, the state before that frame is still
-// complete.
-func (l *Log) removeObsolete() error {
+// complete. The frame that made them obsolete is synced, so an error fails no write.
+func (l *Log) removeObsolete() {
 	for len(l.segments) > 1 && l.segments[0].maxIndex <= l.previousRef.Index {
-		if err := os.Remove(l.segments[0].path); err != nil {
-			return errors.Wrap(err, "remove segment")
+		if err := l.options.FS.Remove(l.segments[0].path); err != nil {
+			l.options.CleanupFailed(errors.Wrap(err, "remove segment"))
+			return
 		}
 		l.segments = l.segments[1:]
 	}
-	return removeSnapshots(l.dir, l.previousRef, l.snapshotRef, false)
+	if err := removeSnapshots(l.options.FS, l.dir, l.previousRef, l.snapshotRef, false); err != nil {
+		l.options.CleanupFailed(err)
+	}
 }
 
 // Stats returns the counters.
@@ -317,6 +392,7 @@
 
 // Close closes the last segment and releases the lock file.
 func (l *Log) Close() error {
+	l.closed = true
 	var err error
 	if l.tailFile != nil {
 		err = l.tailFile.Close()
--- a/services/director/target_file.go
+++ b/services/director/target_file.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode targets")
 	}
-	if err := durable.WriteFile(f.path, encoded); err != nil {
+	if err := durable.WriteFile(durable.OS{}, f.path, encoded); err != nil {
 		return err
 	}
 	f.saved = changes
