control/replica: come back from a disk that refuses writes

Change: a refused batch is repeated every 50 ms. Until it is saved the replica sends nothing that depends on it, so it neither votes nor acknowledges. A leader hands over at once, or falls silent after two election timeouts. Proposals and reads that it cannot serve meanwhile fail at once, as their callers can ask another host; they waited for their deadline.

Evidence: without the repetition TestGroupServesAfterDisksFailInTurn, TestGroupServesAfterAllDisksFailAtOnce and TestReplicaSurvivesSnapshotThatDoesNotFit end without a leader.

--- a/services/control/replica/api.go
+++ b/services/control/replica/api.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"banyanwalk/core/raft"
+	"banyanwalk/infra/durable"
 )
 
 // StateMachine is the replicated state of one group. All its methods are called
@@ -50,6 +51,7 @@
 	SnapshotEvery     int           // applied entries between snapshots
 	SnapshotBytes     int           // size of applied commands between snapshots; 0: unlimited
 	Logger            Logger        // nil: events are discarded
+	FS                durable.FS    // nil: the file system of the operating system
 	// DataComplete reports whether this host holds all data that applied entries
 	// refer to but that is stored outside the log. A learner is not promoted to
 	// voter while it returns false. Nil means that there is no such data.
@@ -74,6 +76,7 @@
 	Applied     uint64
 	IsLeader    bool
 	LeaseUntil  time.Time // end of the leader lease, on the process's monotonic clock; zero unless IsLeader
+	DiskFailing bool      // the disk refuses writes, so this replica takes no part in elections and commits
 	Blank       bool      // it has no data and no group has admitted it yet
 	Voters      []raft.ReplicaID
 	Outgoing    []raft.ReplicaID // previous voters while a membership change is in progress, else empty
--- a/services/control/replica/applier.go
+++ b/services/control/replica/applier.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		for _, call := range read.calls {
-			call.complete(a.applied)
+			call.complete(readResult{index: a.applied})
 		}
 	}
 	a.pendingReads = kept
--- a/services/control/replica/loop.go
+++ b/services/control/replica/loop.go
@@ -35,7 +35,7 @@
 		}
 	})
 	wg.Go(func() { r.writeSnapshots(runCtx, cancel) })
-	wg.Go(r.saver.run)
+	wg.Go(func() { r.saver.run(runCtx) })
 	if err := r.loop(runCtx); err != nil {
 		cancel(err)
 	}
--- a/services/control/replica/reads.go
+++ b/services/control/replica/reads.go
@@ -7,11 +7,17 @@
 
 // readCall is one caller of ReadIndex.
 type readCall struct {
-	done      chan uint64 // capacity one
-	abandoned atomic.Bool // the caller no longer waits
+	done      chan readResult // capacity one
+	abandoned atomic.Bool     // the caller no longer waits
 }
 
-func (c *readCall) complete(index uint64) { c.done <- index }
+// readResult is the outcome of a call: the applied index, or an error.
+type readResult struct {
+	index uint64
+	err   error
+}
+
+func (c *readCall) complete(result readResult) { c.done <- result }
 
 // readRound is a set of calls that share one read-index request to the leader.
 type readRound struct {
@@ -77,3 +83,15 @@
 		return
 	}
 }
+
+// failReads fails the calls that wait for a confirmation.
+func (r *Replica) failReads(err error) {
+	calls := r.readCalls.take()
+	for _, round := range r.readRounds {
+		calls = append(calls, round.calls...)
+	}
+	r.readRounds = nil
+	for _, call := range calls {
+		call.complete(readResult{err: err})
+	}
+}
--- a/services/control/replica/replica.go
+++ b/services/control/replica/replica.go
@@ -39,6 +39,8 @@
 	status            atomic.Pointer[Status]
 	applied           atomic.Uint64
 	retiredHosts      atomic.Pointer[[]uint64]
+	saveFailures      atomic.Int64
+	diskFailing       atomic.Bool
 }
 
 // Open recovers the replica from its data directory, or creates the directory.
@@ -47,7 +49,7 @@
 // emptied.
 func Open(cfg Config, sm StateMachine, t Transport) (*Replica, error) {
 	cfg.setDefaults()
-	log, recovered, err := wal.Open(cfg.Dir, wal.Options{})
+	log, recovered, err := wal.Open(cfg.Dir, wal.Options{FS: cfg.FS, CleanupFailed: func(err error) { cfg.event("log_cleanup_failed", "error", err) }})
 	if err != nil {
 		return nil, err
 	}
@@ -134,11 +136,13 @@
 	}
 }
 
-func (r *Replica) event(name string, keyValues ...any) {
-	if r.cfg.Logger == nil {
+func (r *Replica) event(name string, keyValues ...any) { r.cfg.event(name, keyValues...) }
+
+func (c *Config) event(name string, keyValues ...any) {
+	if c.Logger == nil {
 		return
 	}
-	r.cfg.Logger.Event(name, append([]any{"group", r.cfg.Group, "replica", r.cfg.ID}, keyValues...)...)
+	c.Logger.Event(name, append([]any{"group", c.Group, "replica", c.ID}, keyValues...)...)
 }
 
 // Step queues a message from the network. It never blocks: if the inbox is full,
@@ -185,13 +189,13 @@
 // quorum; concurrent callers share one round. ReadIndex also works on followers.
 // Its error is an *outcome.Error with NoQuorum or Overloaded, and NotRun.
 func (r *Replica) ReadIndex(ctx context.Context) (uint64, error) {
-	call := &readCall{done: make(chan uint64, 1)}
+	call := &readCall{done: make(chan readResult, 1)}
 	if !r.readCalls.add(call) {
 		return 0, overloadedError().WithRetryAfter(r.cfg.HeartbeatInterval)
 	}
 	select {
-	case index := <-call.done:
-		return index, nil
+	case result := <-call.done:
+		return result.index, result.err
 	case <-ctx.Done():
 	case <-r.stopped:
 	}
@@ -221,9 +225,14 @@
 func (r *Replica) Status() Status {
 	s := *r.status.Load()
 	s.Applied = r.applied.Load()
+	s.DiskFailing = r.diskFailing.Load()
 	return s
 }
 
+// SaveFailures returns how often the disk has refused a write of the log or a
+// snapshot.
+func (r *Replica) SaveFailures() int64 { return r.saveFailures.Load() }
+
 // LeaseValid reports whether this replica is the leader and its lease has not
 // expired, so that no other leader can have been elected yet. Besides now, the
 // current time is checked too: a process resumed after a freeze may pass a time
--- a/services/control/replica/replica_test.go
+++ b/services/control/replica/replica_test.go
@@ -17,6 +17,7 @@
 
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/raft"
+	"banyanwalk/infra/durable/durabletest"
 )
 
 // recordingStateMachine is a state machine that records the applied commands.
@@ -85,6 +86,7 @@
 	wg    conc.WaitGroup
 	// opened is called with each replica before it runs.
 	opened func(id uint64, r *Replica)
+	disks  map[uint64]*durabletest.Disk // the file systems of replicas; nil: the real one
 }
 
 const waitTimeout = time.Minute // bounds every wait; only a test that hangs reaches it
@@ -133,6 +135,9 @@
 func (c *cluster) start(id uint64) {
 	cfg := c.cfg
 	cfg.ID, cfg.Peers, cfg.Dir = id, c.peers, c.dataDir(id)
+	if c.disks != nil {
+		cfg.FS = c.disks[id]
+	}
 	n := &node{sm: c.make(), runResult: make(chan error, 1)}
 	var err error
 	n.replica, err = Open(cfg, n.sm, memoryTransport{net: c.net, from: id})
--- a/services/control/replica/saving.go
+++ b/services/control/replica/saving.go
@@ -1,9 +1,14 @@
 package replica
 
 import (
+	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"banyanwalk/core/outcome"
 	"banyanwalk/core/raft"
+	"banyanwalk/infra/pause"
 	"banyanwalk/infra/wal"
 )
 
@@ -13,41 +18,73 @@
 	// silenceAfter is the number of election timeouts after which a leader whose
 	// disk has not answered stops its heartbeats, so that another one is elected.
 	silenceAfter = 2
+	// saveRetryInterval is the time between two attempts to save to a disk that
+	// refuses writes, for example since it is full.
+	saveRetryInterval = 50 * time.Millisecond
 )
 
-// saver writes batches to the log in a goroutine of its own, one at a time.
+// saver writes batches to the log in a goroutine of its own, one at a time. It repeats
+// a write that the disk refuses: the log is then as before the write, and the replica
+// must send nothing that depends on the batch until it is saved.
 type saver struct {
-	save    func(wal.Batch) error
-	batches chan wal.Batch
-	results chan error
+	save     func(wal.Batch) error
+	batches  chan wal.Batch
+	results  chan error
+	failures chan error // of attempts that will be repeated; capacity one
 }
 
 func newSaver(save func(wal.Batch) error) *saver {
-	return &saver{save: save, batches: make(chan wal.Batch), results: make(chan error, 1)}
+	return &saver{save: save, batches: make(chan wal.Batch), results: make(chan error, 1), failures: make(chan error, 1)}
 }
 
-func (s *saver) run() {
+// run saves batches until close. It gives up a batch when ctx ends.
+func (s *saver) run(ctx context.Context) {
 	for batch := range s.batches {
-		s.results <- s.save(batch)
+		s.results <- s.saveRepeatedly(ctx, batch)
+	}
+}
+
+func (s *saver) saveRepeatedly(ctx context.Context, batch wal.Batch) error {
+	for {
+		err := s.save(batch)
+		if err == nil || !mayRepeat(err) {
+			return err
+		}
+		select {
+		case s.failures <- err:
+		default:
+		}
+		if !pause.For(ctx, saveRetryInterval) {
+			return err
+		}
 	}
 }
 
+// mayRepeat reports whether a write to the log may succeed later.
+func mayRepeat(err error) bool {
+	return !errors.Is(err, wal.ErrPermanent) && !errors.Is(err, wal.ErrDamaged)
+}
+
 // close makes run return after the batch in progress.
 func (s *saver) close() { close(s.batches) }
 
 // save syncs a batch to disk. Heartbeats and their responses go on meanwhile, so
-// that a slow disk costs no leader its leadership.
+// that a slow disk costs no leader its leadership. A leader whose disk refuses the
+// batch hands over at once.
 func (r *Replica) save(batch wal.Batch) error {
-	started := time.Now()
+	w := diskWait{started: time.Now()}
 	r.saver.batches <- batch
 	for {
 		select {
 		case err := <-r.saver.results:
-			r.logSlowSync(time.Since(started), len(batch.Entries))
+			r.endDiskWait(&w, err, len(batch.Entries))
 			return err
+		case err := <-r.saver.failures:
+			r.noteRefusal(&w, err)
 		case <-r.ticker.C:
 			r.stepWhileSaving()
-			r.tickWhileSaving(time.Since(started))
+			r.tickWhileSaving(&w)
+			r.failCalls(&w)
 		case <-r.inbox.wake:
 			r.stepWhileSaving()
 		}
@@ -56,6 +93,56 @@
 	}
 }
 
+// diskWait is the wait for one batch.
+type diskWait struct {
+	started  time.Time
+	refusals int // failed attempts
+}
+
+// failCalls fails the proposals and reads that this replica cannot serve while it
+// waits for its disk, since it does not lead or its disk refuses writes. Their callers
+// can ask another replica. Proposals in the log may be committed, but cannot be
+// applied here yet.
+func (r *Replica) failCalls(w *diskWait) {
+	status := r.core.Status()
+	if status.Role == raft.Leader && w.refusals == 0 {
+		return
+	}
+	for _, p := range r.proposals.take() {
+		p.complete(proposalResult{err: notLeaderError(status.Leader.ID)})
+	}
+	if status.Role != raft.Leader {
+		r.pending.failAfter(0, unknownOutcomeError())
+	}
+	if w.refusals > 0 {
+		r.failReads(outcome.New(outcome.NoQuorum, outcome.NotRun, "the disk of this host refuses writes"))
+	}
+}
+
+// noteRefusal counts a failed attempt and logs the first one of a batch.
+func (r *Replica) noteRefusal(w *diskWait, err error) {
+	w.refusals++
+	r.saveFailures.Add(1)
+	if w.refusals > 1 {
+		return
+	}
+	r.diskFailing.Store(true)
+	r.event("disk_refuses_writes", "error", err, "leads", r.core.Status().Role == raft.Leader, "commit", r.core.Status().Commit)
+}
+
+// endDiskWait logs the end of a wait for the disk.
+func (r *Replica) endDiskWait(w *diskWait, err error, entries int) {
+	if w.refusals == 0 {
+		r.logSlowSync(time.Since(w.started), entries)
+		return
+	}
+	if err != nil {
+		return // Run returns it
+	}
+	r.diskFailing.Store(false)
+	r.event("disk_accepts_writes", "after_ms", time.Since(w.started).Milliseconds(), "refusals", w.refusals, "entries", entries)
+}
+
 func (r *Replica) logSlowSync(took time.Duration, entries int) {
 	if took <= slowSync {
 		return
@@ -80,11 +167,14 @@
 }
 
 // tickWhileSaving advances the clock of a leader. Once its disk has been busy for
-// an election timeout, it hands over to a voter that holds the whole log.
-func (r *Replica) tickWhileSaving(busy time.Duration) {
+// an election timeout, or refuses writes, it hands over to a voter that holds the
+// whole log.
+func (r *Replica) tickWhileSaving(w *diskWait) {
 	now := time.Now()
-	if busy >= r.cfg.ElectionTimeout && r.core.TransferLeadership(now) {
-		r.event("leadership_transferred", "disk_busy_ms", busy.Milliseconds())
+	busy := now.Sub(w.started)
+	mayTransfer := w.refusals > 0 || busy >= r.cfg.ElectionTimeout
+	if mayTransfer && r.core.TransferLeadership(now) {
+		r.event("leadership_transferred", "disk_busy_ms", busy.Milliseconds(), "refusals", w.refusals)
 		return
 	}
 	if busy < silenceAfter*r.cfg.ElectionTimeout {
