--- a/services/replicated/group.go
+++ b/services/replicated/group.go
@@ -138,9 +138,19 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "open group %d", cfg.Group)
 	}
+	cfg.Metrics.GetOrRegister("raft.saves.refused", metrics.NewFunctionalGauge(g.replica.SaveFailures))
+	cfg.Metrics.GetOrRegister("raft.disk.failing", metrics.NewFunctionalGauge(g.diskFailing))
 	return g, nil
 }
 
+// diskFailing returns 1 while the disk refuses writes.
+func (g *Group[R]) diskFailing() int64 {
+	if g.replica.Status().DiskFailing {
+		return 1
+	}
+	return 0
+}
+
 func withSelf(peers []uint64, id uint64) []uint64 {
 	all := []uint64{id}
 	for _, p := range peers {
