payload: a full disk no longer ends the store for good

Once one write or sync of a payload segment had failed, every put on that host failed until the process was restarted, because Store kept its first error. A group commit could also report success for a record whose sync had failed, once a later sync of the same file succeeded.

A failed write now leaves the store as before and may be repeated. After a failed sync the unsynced records of the segment are removed from the index and cut off, and the next record starts a new segment, since the operating system may report the next sync of dropped pages as successful. Syncs are serialized until their outcome is settled and cover each segment that has unsynced records, so a record is acknowledged only by a sync of its own file. Open syncs what it finds and appends to a new segment, and creates none before the first put, so it needs no room. Has reports synced records only, and the repairer keeps a record until it is stored. Reclaim deletes empty segments before it copies records, and the index refers to the originals until the copies are synced.

ErrClosed is the only final error. Tests change only by the new parameter of Open.

--- a/services/control/payload/reclaim.go
+++ b/services/control/payload/reclaim.go
@@ -2,14 +2,12 @@
 
 import (
 	"cmp"
-	"os"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"banyanwalk/core/batch"
-	"banyanwalk/infra/durable"
 )
 
 const (
@@ -22,22 +20,42 @@
 
 // Reclaim garbage-collects records that are not in use and were last put before
 // the given time. It copies the remaining records of sparse segments to the
-// active segment and deletes empty segments. It returns the bytes freed on disk.
+// active segment and deletes empty segments, at first those that need no copies, which
+// a full disk has no room for. It returns the bytes freed on disk.
 func (s *Store) Reclaim(inUse map[batch.Digest]struct{}, before time.Time) (int64, error) {
 	s.mu.Lock()
 	s.dropUnused(inUse, before)
-	err := s.compactSparse()
-	upTo := s.writtenRecords
-	s.mu.Unlock()
-	if err != nil {
-		return 0, err
+	freed, err := s.removeEmptySegments()
+	var copies []recordCopy
+	if err == nil {
+		copies, err = s.copySparse()
 	}
-	if err := s.syncTo(upTo); err != nil {
-		return 0, err
+	s.mu.Unlock()
+	if len(copies) > 0 {
+		err = errors.CombineErrors(err, s.sync(copies[len(copies)-1].to))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.removeEmptySegments()
+	s.replaceCopied(copies)
+	freedByCopies, removeErr := s.removeEmptySegments()
+	return freed + freedByCopies, errors.CombineErrors(err, removeErr)
+}
+
+// recordCopy is a record that was copied to the active segment.
+type recordCopy struct {
+	digest   batch.Digest
+	from, to *location
+}
+
+// replaceCopied makes the index refer to the copies that are synced. The caller holds
+// mu.
+func (s *Store) replaceCopied(copies []recordCopy) {
+	for _, c := range copies {
+		if c.to.state == recordSynced && s.index[c.digest] == c.from {
+			c.to.lastPut = c.from.lastPut
+			s.indexRecord(c.digest, c.to)
+		}
+	}
 }
 
 // dropUnused removes unused records from the index. The caller holds mu.
@@ -49,12 +67,14 @@
 	}
 }
 
-// compactSparse copies the records of sparse segments to the active segment. The
-// caller holds mu.
-func (s *Store) compactSparse() error {
-	if s.writeErr != nil {
-		return s.writeErr
+// copySparse copies the records of sparse segments to the active segment. The index
+// refers to the originals until the copies are synced. After an error it returns the
+// copies made so far. The caller holds mu.
+func (s *Store) copySparse() ([]recordCopy, error) {
+	if s.closed {
+		return nil, ErrClosed
 	}
+	var copies []recordCopy
 	sparse := s.sparseSegments()
 	for d, l := range s.index {
 		if !slices.Contains(sparse, l.segment) {
@@ -62,21 +82,20 @@
 		}
 		data := make([]byte, l.length)
 		if _, err := l.segment.file.ReadAt(data, l.offset); err != nil {
-			return errors.Wrap(err, "read record")
+			return copies, errors.Wrap(err, "read record")
 		}
 		ref := batch.Ref{Digest: d, Length: l.length}
 		if RefOf(data) != ref {
 			s.unindex(d)
 			continue
 		}
-		lastPut := l.lastPut
-		if err := s.write(ref, data); err != nil {
-			s.writeErr = err
-			return err
+		to, err := s.write(ref, data, l.lastPut)
+		if err != nil {
+			return copies, err
 		}
-		s.index[d].lastPut = lastPut
+		copies = append(copies, recordCopy{digest: d, from: l, to: to})
 	}
-	return nil
+	return copies, nil
 }
 
 // sparseSegments returns the segments to compact, those with the fewest bytes in
@@ -84,7 +103,7 @@
 func (s *Store) sparseSegments() []*segment {
 	var sparse []*segment
 	for _, seg := range s.segments {
-		if seg != s.active && seg.liveBytes > 0 && seg.liveBytes < seg.size/sparseDivisor {
+		if seg != s.active && seg.pending == 0 && seg.liveBytes > 0 && seg.liveBytes < seg.size/sparseDivisor {
 			sparse = append(sparse, seg)
 		}
 	}
@@ -92,23 +111,23 @@
 	return sparse[:min(len(sparse), maxCompactedSegments)]
 }
 
-// removeEmptySegments deletes the segments without indexed records, except the
-// active one. It returns the bytes freed. The caller holds mu.
+// removeEmptySegments deletes the segments without indexed or unsynced records, except
+// the active one. It returns the bytes freed. The caller holds mu.
 func (s *Store) removeEmptySegments() (int64, error) {
 	freed := int64(0)
 	for id, seg := range s.segments {
-		if seg == s.active || seg.liveBytes > 0 {
+		if seg == s.active || seg.liveBytes > 0 || seg.pending > 0 {
 			continue
 		}
-		seg.file.Close()
-		if err := os.Remove(segmentPath(s.dir, id)); err != nil {
+		if err := s.fs.Remove(segmentPath(s.dir, id)); err != nil {
 			return freed, errors.Wrap(err, "remove segment")
 		}
+		seg.file.Close() // its records are no longer needed
 		delete(s.segments, id)
 		freed += seg.size
 	}
 	if freed == 0 {
 		return 0, nil
 	}
-	return freed, durable.SyncDir(s.dir)
+	return freed, s.fs.SyncDir(s.dir)
 }
--- a/services/control/payload/repair.go
+++ b/services/control/payload/repair.go
@@ -101,7 +101,8 @@
 	fetches := pool.New().WithMaxGoroutines(repairConcurrency)
 	for _, ref := range refs {
 		fetches.Go(func() {
-			if _, err := r.replicator.Read(ctx, ref); err == nil {
+			// The record may have been read before it is synced, or not be stored here.
+			if _, err := r.replicator.Read(ctx, ref); err == nil && r.replicator.store.Has(ref) {
 				r.markFetched(ref)
 			}
 		})
--- a/services/control/payload/replicator_test.go
+++ b/services/control/payload/replicator_test.go
@@ -138,7 +138,7 @@
 }
 
 func BenchmarkPut(b *testing.B) {
-	s, err := Open(b.TempDir(), 0, testOpenTime)
+	s, err := Open(b.TempDir(), 0, testOpenTime, nil)
 	require.NoError(b, err)
 	b.SetBytes(4 * 50)
 	b.SetParallelism(16)
--- a/services/control/payload/segment.go
+++ b/services/control/payload/segment.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"hash/crc32"
 	"io"
-	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -14,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"banyanwalk/core/batch"
+	"banyanwalk/infra/durable"
 )
 
 const (
@@ -32,9 +32,28 @@
 // segment is an append-only file of records, each a header followed by its data.
 type segment struct {
 	id        uint64
-	file      *os.File
-	size      int64 // bytes
+	file      durable.File
+	size      int64 // bytes of whole records
 	liveBytes int64 // of the records that the index locates in this segment, with headers
+	pending   int   // records that are not synced yet
+	// ended: nothing is appended any more. After a failed sync the operating system may
+	// drop the pages that it could not write and report the next sync of the file as
+	// successful.
+	ended bool
+	// torn: the file may be longer than size, after a failed write or sync.
+	torn bool
+}
+
+// cut removes what follows the whole records of a segment.
+func (s *segment) cut() error {
+	if !s.torn {
+		return nil
+	}
+	if err := s.file.Truncate(s.size); err != nil {
+		return errors.Wrap(err, "cut segment")
+	}
+	s.torn = false
+	return nil
 }
 
 func segmentPath(dir string, id uint64) string {
@@ -74,7 +93,7 @@
 // scan reads the records of a segment from its start and calls visit with the
 // offset of each record's data. It stops at the first record that is truncated or
 // corrupt and returns the length of the valid part before it.
-func scan(f *os.File, visit func(ref batch.Ref, offset int64)) (validBytes int64, err error) {
+func scan(f durable.File, visit func(ref batch.Ref, offset int64)) (validBytes int64, err error) {
 	if _, err := f.Seek(0, io.SeekStart); err != nil {
 		return 0, errors.Wrap(err, "seek segment")
 	}
--- a/services/control/payload/store.go
+++ b/services/control/payload/store.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -20,58 +21,93 @@
 // ErrMissing is returned for a record that this host does not hold.
 var ErrMissing = errors.New("payload record is not on this host")
 
+// ErrClosed is returned by puts after Close. It is the only final error of a write:
+// after any other one the store is as before the write, which may be repeated.
+var ErrClosed = errors.New("payload store is closed")
+
 // location is the position of a record's data on disk.
 type location struct {
 	segment *segment
 	offset  int64
 	length  uint32
+	state   recordState
 	lastPut time.Time // time of the last put, or of Open for records that it found
 }
 
+// recordState tells whether a record survives a power loss.
+type recordState uint8
+
+const (
+	recordSynced recordState = iota
+	recordPending
+	recordLost // its sync failed
+)
+
+// pendingRecord is a record that is written but not synced.
+type pendingRecord struct {
+	digest   batch.Digest
+	location *location
+}
+
 // Store holds the records of one host in segment files, with an index in memory.
 // It is safe for concurrent use.
 type Store struct {
 	dir          string
 	segmentBytes int64
+	fs           durable.FS
 
-	mu             sync.RWMutex
-	index          map[batch.Digest]*location
-	segments       map[uint64]*segment
-	active         *segment
-	writtenRecords uint64 // records appended so far
-	writeErr       error  // first write or sync error, or set by Close; blocks all later writes
+	mu       sync.RWMutex
+	index    map[batch.Digest]*location
+	segments map[uint64]*segment
+	active   *segment // nil before the first segment
+	lastID   uint64   // highest id of a segment that was created or found
+	pending  []pendingRecord
+	closed   bool
 
-	syncMu        sync.Mutex
-	syncedRecords uint64 // records known to be on disk
+	// syncMu is held during syncs and until their outcome is settled: the operating
+	// system reports a failure to only one of two syncs of a file.
+	syncMu  sync.Mutex
+	syncErr error // of the last failed sync; guarded by syncMu
 }
 
 // Open opens the store in the directory dir, which it creates if needed. A torn
 // write at the end of the newest segment is truncated. In older segments a corrupt
-// record and all records after it count as missing. now is taken as the time of
-// the last put of all records found. Zero segmentBytes means DefaultSegmentBytes.
-func Open(dir string, segmentBytes int64, now time.Time) (*Store, error) {
+// record and all records after it count as missing. What it finds is synced, because
+// a process that was killed may have left it unsynced. now is taken as the time of
+// the last put of all records found. Zero segmentBytes means DefaultSegmentBytes; nil
+// fs means the operating system. Open needs no room on disk, unless dir is missing.
+func Open(dir string, segmentBytes int64, now time.Time, fs durable.FS) (*Store, error) {
 	if segmentBytes <= 0 {
 		segmentBytes = DefaultSegmentBytes
 	}
+	if fs == nil {
+		fs = durable.OS{}
+	}
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return nil, errors.Wrap(err, "create payload folder")
 	}
-	s := &Store{dir: dir, segmentBytes: segmentBytes, index: make(map[batch.Digest]*location), segments: make(map[uint64]*segment)}
+	s := &Store{dir: dir, segmentBytes: segmentBytes, fs: fs, index: make(map[batch.Digest]*location), segments: make(map[uint64]*segment)}
+	if err := s.load(now); err != nil {
+		return nil, errors.CombineErrors(err, s.Close())
+	}
+	return s, nil
+}
+
+// load indexes the records of all segments and syncs the directory.
+func (s *Store) load(now time.Time) error {
 	ids, err := s.listSegments()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	for i, id := range ids {
 		if err := s.loadSegment(id, i == len(ids)-1, now); err != nil {
-			return nil, errors.CombineErrors(err, s.Close())
+			return err
 		}
 	}
-	if s.active == nil {
-		if err := s.startSegment(1); err != nil {
-			return nil, errors.CombineErrors(err, s.Close())
-		}
+	if err := s.fs.SyncDir(filepath.Dir(s.dir)); err != nil {
+		return err
 	}
-	return s, nil
+	return s.fs.SyncDir(s.dir)
 }
 
 // listSegments returns the ids of the segment files in ascending order.
@@ -90,39 +126,37 @@
 	return ids, nil
 }
 
-// loadSegment indexes the records of a segment. The newest segment becomes the
-// active one, truncated to its valid records.
+// loadSegment indexes the records of a segment and syncs it. The newest segment is
+// truncated to its valid records. Nothing is appended to it, because the process that
+// wrote it may have seen a sync of it fail.
 func (s *Store) loadSegment(id uint64, newest bool, now time.Time) error {
-	f, err := os.OpenFile(segmentPath(s.dir, id), os.O_RDWR, fileMode)
+	f, err := s.fs.OpenFile(segmentPath(s.dir, id), os.O_RDWR, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "open segment")
 	}
-	seg := &segment{id: id, file: f}
-	s.segments[id] = seg
+	seg := &segment{id: id, file: f, ended: true}
+	s.segments[id], s.lastID = seg, id
 	validBytes, err := scan(f, func(ref batch.Ref, offset int64) {
-		s.indexRecord(ref, &location{segment: seg, offset: offset, length: ref.Length, lastPut: now})
+		s.indexRecord(ref.Digest, &location{segment: seg, offset: offset, length: ref.Length, lastPut: now})
 	})
 	if err != nil {
 		return err
 	}
 	seg.size = validBytes
-	if !newest {
-		return nil
-	}
-	if err := f.Truncate(validBytes); err != nil {
-		return errors.Wrap(err, "cut torn tail")
-	}
-	if err := f.Sync(); err != nil {
-		return errors.Wrap(err, "sync segment")
+	if newest {
+		seg.torn = true
+		if err := seg.cut(); err != nil {
+			return err
+		}
+		s.active = seg
 	}
-	s.active = seg
-	return nil
+	return errors.Wrap(f.Sync(), "sync segment")
 }
 
 // indexRecord adds a record to the index. A later copy replaces an earlier one.
-func (s *Store) indexRecord(ref batch.Ref, l *location) {
-	s.unindex(ref.Digest)
-	s.index[ref.Digest] = l
+func (s *Store) indexRecord(d batch.Digest, l *location) {
+	s.unindex(d)
+	s.index[d] = l
 	l.segment.liveBytes += int64(l.length) + headerBytes
 }
 
@@ -135,15 +169,21 @@
 	}
 }
 
-// startSegment creates a segment and makes it the active one. The caller holds mu.
-func (s *Store) startSegment(id uint64) error {
-	f, err := os.OpenFile(segmentPath(s.dir, id), os.O_CREATE|os.O_EXCL|os.O_RDWR, fileMode)
+// startSegment creates a segment and makes it the active one. After an error the
+// active segment is unchanged. The caller holds mu.
+func (s *Store) startSegment() error {
+	s.lastID++ // also after an error, which may leave the file behind
+	path := segmentPath(s.dir, s.lastID)
+	f, err := s.fs.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_RDWR, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "create segment")
 	}
-	s.active = &segment{id: id, file: f}
-	s.segments[id] = s.active
-	return durable.SyncDir(s.dir)
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return errors.CombineErrors(err, errors.CombineErrors(f.Close(), s.fs.Remove(path)))
+	}
+	s.active = &segment{id: s.lastID, file: f}
+	s.segments[s.lastID] = s.active
+	return nil
 }
 
 // RefOf returns the reference of a record: its digest and length.
@@ -159,86 +199,149 @@
 		return batch.Ref{}, outcome.New(outcome.BodyTooLarge, outcome.NotRun, "record of %d bytes exceeds %d", len(data), maxRecordBytes)
 	}
 	ref := RefOf(data)
-	upTo, err := s.append(ref, data)
+	l, err := s.append(ref, data)
 	if err != nil {
 		return batch.Ref{}, err
 	}
-	return ref, s.syncTo(upTo)
+	if err := s.sync(l); err != nil {
+		return batch.Ref{}, err
+	}
+	return ref, nil
 }
 
-// append writes a record unless the store already holds it. It returns the number
-// of records written so far, for syncTo.
-func (s *Store) append(ref batch.Ref, data []byte) (uint64, error) {
+// append writes a record unless the store already holds it, and returns its location.
+func (s *Store) append(ref batch.Ref, data []byte) (*location, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.writeErr != nil {
-		return 0, s.writeErr
+	if s.closed {
+		return nil, ErrClosed
 	}
 	if l, ok := s.index[ref.Digest]; ok {
 		l.lastPut = time.Now()
-		return s.writtenRecords, nil
+		return l, nil
 	}
-	if err := s.write(ref, data); err != nil {
-		s.writeErr = err
-		return 0, err
+	l, err := s.write(ref, data, time.Now())
+	if err != nil {
+		return nil, err
 	}
-	return s.writtenRecords, nil
+	s.indexRecord(ref.Digest, l)
+	return l, nil
 }
 
-// write appends a record to the active segment, or to a new one when that is
-// full. The caller holds mu.
-func (s *Store) write(ref batch.Ref, data []byte) error {
-	if s.active.size >= s.segmentBytes {
-		if err := s.active.file.Sync(); err != nil {
-			return errors.Wrap(err, "sync segment")
-		}
-		if err := s.startSegment(s.active.id + 1); err != nil {
-			return err
-		}
+// prepareActive makes the active segment ready for the next record, or starts a new
+// one. The caller holds mu.
+func (s *Store) prepareActive() error {
+	if s.active == nil {
+		return s.startSegment()
+	}
+	// Otherwise a process that opens the store later takes what a failed sync has lost
+	// for stored.
+	if err := s.active.cut(); err != nil {
+		return err
+	}
+	if s.active.ended || s.active.size >= s.segmentBytes {
+		return s.startSegment()
+	}
+	return nil
+}
+
+// write appends a record to the active segment, or to a new one when that is full or
+// ended. The caller holds mu.
+func (s *Store) write(ref batch.Ref, data []byte, lastPut time.Time) (*location, error) {
+	if err := s.prepareActive(); err != nil {
+		return nil, err
 	}
 	seg := s.active
 	record := append(encodeHeader(ref, data), data...)
 	if _, err := seg.file.WriteAt(record, seg.size); err != nil {
-		return errors.Wrap(err, "write record")
+		seg.torn = true
+		return nil, errors.CombineErrors(errors.Wrap(err, "write record"), seg.cut())
 	}
-	s.indexRecord(ref, &location{segment: seg, offset: seg.size + headerBytes, length: ref.Length, lastPut: time.Now()})
+	l := &location{segment: seg, offset: seg.size + headerBytes, length: ref.Length, state: recordPending, lastPut: lastPut}
 	seg.size += int64(len(record))
-	s.writtenRecords++
-	return nil
+	seg.pending++
+	s.pending = append(s.pending, pendingRecord{digest: ref.Digest, location: l})
+	return l, nil
 }
 
-// syncTo returns once the first upTo records are synced. It is a group commit: one
-// sync covers all records written so far, so that callers that waited for syncMu
-// usually need no sync of their own.
-func (s *Store) syncTo(upTo uint64) error {
+// sync returns once the record at l is synced, or its sync has failed. It is a group
+// commit: one sync covers all records written so far, so that callers that waited for
+// syncMu usually need no sync of their own.
+func (s *Store) sync(l *location) error {
 	s.syncMu.Lock()
 	defer s.syncMu.Unlock()
-	if s.syncedRecords >= upTo {
-		return nil
-	}
 	s.mu.RLock()
-	file, written, writeErr := s.active.file, s.writtenRecords, s.writeErr
+	state, written, closed := l.state, s.pending, s.closed
 	s.mu.RUnlock()
-	if writeErr != nil {
-		return writeErr
+	if state == recordPending {
+		if closed {
+			return ErrClosed
+		}
+		state = s.syncPending(written, l)
 	}
-	if err := file.Sync(); err != nil {
-		err = errors.Wrap(err, "sync segment")
-		s.mu.Lock()
-		s.writeErr = err
-		s.mu.Unlock()
-		return err
+	if state == recordLost {
+		return s.syncErr
 	}
-	s.syncedRecords = written
 	return nil
 }
 
-// Has reports whether the record is on this host.
+// syncPending syncs the segments of the pending records, which are in the order of
+// their segments, and returns the state of the record at l. The caller holds syncMu.
+func (s *Store) syncPending(records []pendingRecord, l *location) recordState {
+	for len(records) > 0 {
+		seg, count := records[0].location.segment, 0
+		for count < len(records) && records[count].location.segment == seg {
+			count++
+		}
+		records = records[count:]
+		s.settle(seg, count, errors.Wrap(seg.file.Sync(), "sync segment"))
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return l.state
+}
+
+// settle ends the wait of the oldest pending records, which are in seg, after a sync of
+// it. If that has failed, all unsynced records of the segment are lost, also those
+// written during the sync. The caller holds syncMu.
+func (s *Store) settle(seg *segment, count int, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		count = seg.pending
+	}
+	records := s.pending[:count]
+	s.pending = s.pending[count:]
+	seg.pending -= count
+	if err != nil {
+		s.lose(seg, records, err)
+		return
+	}
+	for _, r := range records {
+		r.location.state = recordSynced
+	}
+}
+
+// lose removes the unsynced records of a segment from the index and ends the segment.
+// The caller holds syncMu and mu.
+func (s *Store) lose(seg *segment, records []pendingRecord, err error) {
+	for _, r := range records {
+		r.location.state = recordLost
+		if s.index[r.digest] == r.location {
+			s.unindex(r.digest)
+		}
+	}
+	seg.size = records[0].location.offset - headerBytes
+	seg.ended, seg.torn = true, true
+	s.syncErr = errors.CombineErrors(err, seg.cut())
+}
+
+// Has reports whether the record is on this host and synced.
 func (s *Store) Has(ref batch.Ref) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	_, ok := s.index[ref.Digest]
-	return ok
+	l, ok := s.index[ref.Digest]
+	return ok && l.state == recordSynced
 }
 
 // Read returns a record, or ErrMissing. A record whose contents do not match its
@@ -280,7 +383,7 @@
 func (s *Store) Close() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.writeErr = errors.New("payload store is closed")
+	s.closed = true
 	var err error
 	for _, seg := range s.segments {
 		err = errors.CombineErrors(err, seg.file.Close())
--- a/services/control/payload/store_test.go
+++ b/services/control/payload/store_test.go
@@ -21,7 +21,7 @@
 
 func openStore(t *testing.T, dir string) *Store {
 	t.Helper()
-	s, err := Open(dir, testSegmentBytes, testOpenTime)
+	s, err := Open(dir, testSegmentBytes, testOpenTime, nil)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = s.Close() })
 	return s
@@ -177,7 +177,7 @@
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		dir := t.TempDir()
 		require.NoError(t, os.WriteFile(segmentPath(dir, 1), raw, fileMode))
-		s, err := Open(dir, testSegmentBytes, testOpenTime)
+		s, err := Open(dir, testSegmentBytes, testOpenTime, nil)
 		require.NoError(t, err)
 		defer s.Close() //nolint:errcheck // read only
 		require.LessOrEqual(t, s.active.size, int64(len(raw)))
--- a/services/control/workgroup/service.go
+++ b/services/control/workgroup/service.go
@@ -54,7 +54,7 @@
 		cfg.Groups = DefaultGroups
 	}
 	hostConfig := server.Config()
-	store, err := payload.Open(filepath.Join(hostConfig.DataDir, payloadDir), cfg.SegmentBytes, time.Now())
+	store, err := payload.Open(filepath.Join(hostConfig.DataDir, payloadDir), cfg.SegmentBytes, time.Now(), nil)
 	if err != nil {
 		return nil, err
 	}
