director, jobhost: a failed replica ends the process

When the replica of a host ended with an error, Run waited for its other tasks, which never end, so the process ran on without its replica and its supervisor saw nothing to restart. The same held for a server or transport that failed beside the replica, and for the follower of a storage host.

The first task that fails now cancels the others; the replica still hands over its leadership before the server stops.

--- a/cmd/banyan-site-store/main.go
+++ b/cmd/banyan-site-store/main.go
@@ -24,8 +24,8 @@
 	site.Main("banyan-site-store", "storage host of a site: stores batch jobs and runs their items", run)
 }
 
-// run serves the storage host until ctx ends. The follower and the settings
-// watcher run until the storage host has stopped.
+// run serves the storage host until ctx ends or a task fails. The follower and the
+// settings watcher run until the storage host has stopped.
 func run(ctx context.Context, p *site.Process) error {
 	if p.Settings.DataDir == "" {
 		return errors.New("a storage host needs a disk: data_dir is empty")
@@ -51,15 +51,20 @@
 	host.SetFollower(follower)
 	backgroundCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	hostCtx, stopHost := context.WithCancel(ctx)
+	defer stopHost()
 	tasks := pool.New().WithErrors().WithFirstError()
-	tasks.Go(func() error { return follower.Run(backgroundCtx) })
+	tasks.Go(func() error {
+		defer stopHost()
+		return follower.Run(backgroundCtx)
+	})
 	tasks.Go(func() error {
 		p.WatchSettings(backgroundCtx, follower)
 		return nil
 	})
 	tasks.Go(func() error {
 		defer stop()
-		return host.Run(ctx, rpcListener)
+		return host.Run(hostCtx, rpcListener)
 	})
 	return tasks.Wait()
 }
--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -101,6 +101,9 @@
 	p.Log.Info("process_started", "data_centre_named", loaded.DataCentre, "first_start", loaded.Bootstrap,
 		"seeds", len(loaded.ControlSeeds), "memory", loaded.MemoryBytes, "lost_hosts", loaded.ToleratedHostLosses)
 	err = run(ctx, p)
+	if err != nil {
+		p.Log.Error("process_failed", "error", err)
+	}
 	p.Log.Info("process_stopped", "error", err)
 	stop()
 	metricsTask.Wait()
--- a/services/director/director.go
+++ b/services/director/director.go
@@ -22,6 +22,7 @@
 	"banyanwalk/core/roster"
 	"banyanwalk/core/routing"
 	"banyanwalk/infra/boottime"
+	"banyanwalk/infra/durable"
 	"banyanwalk/infra/pause"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
@@ -67,6 +68,7 @@
 	Decode    func(body []byte) (*routing.Document, error)
 	Health    HealthHeaders  // empty: targets are not asked about their health
 	Rollout   rollout.Bounds // without them, no rollout is accepted
+	FS        durable.FS     // of the replicated state; nil: the operating system's
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
 	Log       *telemetry.Log
@@ -128,6 +130,7 @@
 		SaveCommit:    true, // changes are rare, and an early catalog should hold them
 		SnapshotEvery: snapshotEntries,
 		SnapshotBytes: snapshotBytes,
+		FS:            cfg.FS,
 		ClientTLS:     cfg.ClientTLS,
 		Log:           cfg.Log,
 		Metrics:       cfg.Metrics,
@@ -146,23 +149,18 @@
 	return s, nil
 }
 
-// Run serves followers, operators and other replicas on l until ctx ends.
+// Run serves followers, operators and other replicas on l until ctx ends or a task
+// fails. A host whose replica has failed must not serve on without it.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
-	p := pool.New().WithErrors().WithFirstError()
-	p.Go(func() error { return s.group.Serve(ctx, s.wire, l) })
-	p.Go(func() error { return s.housekeep(ctx) })
-	p.Go(func() error {
-		s.confirm(ctx)
-		return nil
-	})
-	p.Go(func() error {
-		s.recallTargets(ctx)
-		return nil
-	})
-	p.Go(func() error {
-		s.runRollouts(ctx)
-		return nil
-	})
+	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	p.Go(func(ctx context.Context) error { return s.group.Serve(ctx, s.wire, l) })
+	p.Go(s.housekeep)
+	for _, task := range []func(context.Context){s.confirm, s.recallTargets, s.runRollouts} {
+		p.Go(func(ctx context.Context) error {
+			task(ctx)
+			return nil
+		})
+	}
 	return p.Wait()
 }
 
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"banyanwalk/core/jobs"
+	"banyanwalk/infra/durable"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
 	"banyanwalk/infra/wire"
@@ -58,6 +59,7 @@
 	// ItemTokens returns the tokens that a target may hold for an item, 0 if its
 	// headers name none; nil: the item's own token count is taken.
 	ItemTokens func([]jobs.Header) int64
+	FS         durable.FS // of the replicated state; nil: the operating system's
 	ServerTLS  *tls.Config
 	ClientTLS  *tls.Config
 	Log        *telemetry.Log
@@ -121,7 +123,8 @@
 	return state
 }
 
-// Run opens the replica and serves on l until ctx ends.
+// Run opens the replica and serves on l until ctx ends or a task fails. A host whose
+// replica has failed must not serve on without it.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
 	group, err := s.openReplica(ctx)
 	if err != nil || group == nil {
@@ -151,12 +154,12 @@
 	wire.HandleUnary(s.wire, rpc.MethodStreamBegun, s.origins.report)
 	s.group.Store(group)
 	s.cfg.Follower.ReportNow()
-	p := pool.New().WithErrors().WithFirstError()
-	p.Go(func() error { return group.Serve(ctx, s.wire, l) })
-	p.Go(func() error { return s.runner.run(ctx) })
-	p.Go(func() error { return s.watchMembership(ctx, group) })
+	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	p.Go(func(ctx context.Context) error { return group.Serve(ctx, s.wire, l) })
+	p.Go(s.runner.run)
+	p.Go(func(ctx context.Context) error { return s.watchMembership(ctx, group) })
 	for _, task := range []func(context.Context){s.archiver.run, s.reporter.Run, s.origins.run} {
-		p.Go(func() error {
+		p.Go(func(ctx context.Context) error {
 			task(ctx)
 			return nil
 		})
--- a/services/jobhost/membership.go
+++ b/services/jobhost/membership.go
@@ -42,6 +42,7 @@
 		SnapshotEvery: snapshotEntries,
 		SnapshotBytes: snapshotBytes,
 		DataComplete:  s.state.hasAllTexts.Load,
+		FS:            s.cfg.FS,
 		ClientTLS:     s.cfg.ClientTLS,
 		Log:           s.log,
 		Metrics:       s.cfg.Metrics,
--- a/services/replicated/group.go
+++ b/services/replicated/group.go
@@ -21,6 +21,7 @@
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/raft"
 	"banyanwalk/infra/codec"
+	"banyanwalk/infra/durable"
 	"banyanwalk/infra/pause"
 	"banyanwalk/infra/rafttransport"
 	"banyanwalk/infra/rpc"
@@ -53,6 +54,7 @@
 	// to but does not contain. Until then the host does not become a voter.
 	// Nil: there is no such data.
 	DataComplete func() bool
+	FS           durable.FS // nil: the operating system's
 	ClientTLS    *tls.Config
 	Log          *telemetry.Log
 	Metrics      metrics.Registry
@@ -128,6 +130,7 @@
 		SnapshotEvery:     cfg.SnapshotEvery,
 		SnapshotBytes:     cfg.SnapshotBytes,
 		DataComplete:      cfg.DataComplete,
+		FS:                cfg.FS,
 		Logger:            replicaLogger{cfg.Log},
 		VoterCount:        cfg.VoterCount,
 		ReplaceAfter:      replaceAfter,
@@ -167,14 +170,19 @@
 	wire.HandleUnary(s, rpc.MethodPropose, g.serveProposal)
 }
 
-// Serve runs the replica and the host's server on l until ctx ends. The server
-// stops only after the replica has transferred its leadership, which needs the
-// server.
+// Serve runs the replica and the host's server on l until ctx ends or one of them
+// fails. The server stops only after the replica has transferred its leadership, which
+// needs the server.
 func (g *Group[R]) Serve(ctx context.Context, server *wire.Server, l net.Listener) error {
 	serverCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	ctx, stopReplica := context.WithCancel(ctx)
+	defer stopReplica()
 	p := pool.New().WithErrors().WithFirstError()
-	p.Go(func() error { return server.Serve(serverCtx, l) })
+	p.Go(func() error {
+		defer stopReplica()
+		return server.Serve(serverCtx, l)
+	})
 	p.Go(func() error {
 		defer stop()
 		return g.run(ctx)
@@ -182,14 +190,19 @@
 	return p.Wait()
 }
 
-// run runs the replica until ctx ends. The transport stops only after the
+// run runs the replica until ctx ends or the transport fails. The transport stops only after the
 // replica, which still sends messages while it transfers its leadership.
 func (g *Group[R]) run(ctx context.Context) error {
 	defer g.conns.Close()
 	transportCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	ctx, stopReplica := context.WithCancel(ctx)
+	defer stopReplica()
 	p := pool.New().WithErrors().WithFirstError()
-	p.Go(func() error { return g.transport.Run(transportCtx) })
+	p.Go(func() error {
+		defer stopReplica()
+		return g.transport.Run(transportCtx)
+	})
 	p.Go(func() error {
 		defer stop()
 		return errors.Wrapf(g.replica.Run(ctx), "group %d", g.cfg.Group)
