replicated: an unfinished log is no state

A host whose first start met a full disk left log.new in its data directory. HasState took any entry for state, so on the next start the host waited to be a member instead of founding the group. Only the log, which package wal renames to its name once it is complete, counts now. TestUnfinishedLogIsNoState fails before.

--- a/services/replicated/group.go
+++ b/services/replicated/group.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,6 +40,10 @@
 	leaderRetryInterval = 20 * time.Millisecond // wait before the leader is looked up again
 )
 
+// logDir is the directory of the log inside a data directory. Package wal creates it
+// under another name and renames it once it is complete.
+const logDir = "log"
+
 // Config is the configuration of this host's replica.
 type Config struct {
 	Group         uint32
@@ -104,8 +109,9 @@
 // HasState reports whether a data directory holds a replica, whose log then
 // names the other members of the group.
 func HasState(dir string) bool {
-	entries, err := os.ReadDir(dir)
-	return err == nil && len(entries) > 0
+	// Other entries may be there, for example of a first start on a full disk.
+	_, err := os.Stat(filepath.Join(dir, logDir))
+	return err == nil
 }
 
 // Open recovers this host's replica from cfg.Dir or creates it.
