archive: Open syncs the names that it finds

A process killed between the rename of a text file and the sync of its directory left a name that a power loss could still remove. It takes a durable.FS; tests change only by that parameter.

--- a/infra/archive/archive.go
+++ b/infra/archive/archive.go
@@ -43,34 +43,43 @@
 // Archive is an archive directory. It is safe for concurrent use.
 type Archive struct {
 	dir string
+	fs  durable.FS
 
 	mu        sync.Mutex
 	fileNames map[string]bool // names of the files that are complete and durable
 }
 
 // Open opens the archive in dir, which it creates if needed, and removes the
-// temporary files of interrupted writes.
-func Open(dir string) (*Archive, error) {
+// temporary files of interrupted writes. It syncs the directory, because a process that
+// was killed may have left the name of a complete file unsynced. nil fs means the
+// operating system.
+func Open(dir string, fs durable.FS) (*Archive, error) {
+	if fs == nil {
+		fs = durable.OS{}
+	}
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return nil, errors.Wrap(err, "create archive")
 	}
-	if err := durable.SyncDir(filepath.Dir(dir)); err != nil {
+	if err := fs.SyncDir(filepath.Dir(dir)); err != nil {
 		return nil, err
 	}
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, errors.Wrap(err, "list archive")
 	}
-	a := &Archive{dir: dir, fileNames: make(map[string]bool, len(entries))}
+	a := &Archive{dir: dir, fs: fs, fileNames: make(map[string]bool, len(entries))}
 	for _, entry := range entries {
 		if !strings.HasSuffix(entry.Name(), durable.TempSuffix) {
 			a.fileNames[entry.Name()] = true
 			continue
 		}
-		if err := os.Remove(filepath.Join(dir, entry.Name())); err != nil {
+		if err := fs.Remove(filepath.Join(dir, entry.Name())); err != nil {
 			return nil, errors.Wrap(err, "remove temporary file")
 		}
 	}
+	if err := fs.SyncDir(dir); err != nil {
+		return nil, err
+	}
 	return a, nil
 }
 
@@ -105,7 +114,7 @@
 		if a.contains(file) {
 			continue
 		}
-		err := durable.WriteAtomic(durable.OS{}, filepath.Join(a.dir, file), func(f io.Writer) error { return writeTexts(f, entries[i].Texts) })
+		err := durable.WriteAtomic(a.fs, filepath.Join(a.dir, file), func(f io.Writer) error { return writeTexts(f, entries[i].Texts) })
 		if err != nil {
 			return err
 		}
@@ -114,7 +123,7 @@
 	if len(written) == 0 {
 		return nil
 	}
-	if err := durable.SyncDir(a.dir); err != nil {
+	if err := a.fs.SyncDir(a.dir); err != nil {
 		return err
 	}
 	a.mu.Lock()
@@ -262,7 +271,7 @@
 
 func (a *Archive) remove(files []string) error {
 	for _, file := range files {
-		if err := os.Remove(filepath.Join(a.dir, file)); err != nil {
+		if err := a.fs.Remove(filepath.Join(a.dir, file)); err != nil {
 			return errors.Wrap(err, "remove archive file")
 		}
 	}
--- a/infra/archive/archive_test.go
+++ b/infra/archive/archive_test.go
@@ -16,7 +16,7 @@
 
 func TestPutAndGet(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "texts")
-	a, err := Open(dir)
+	a, err := Open(dir, nil)
 	require.NoError(t, err)
 	long := strings.Repeat("x", 1<<16)
 	require.NoError(t, a.Put([]Entry{{Name: "../job/1", Texts: []string{"one", "", long, "four"}}, {Name: "empty"}}))
@@ -35,7 +35,7 @@
 		require.NoError(t, err)
 		assert.Empty(t, texts)
 		assert.True(t, a.Has("empty"))
-		a, err = Open(dir)
+		a, err = Open(dir, nil)
 		require.NoError(t, err)
 	}
 	_, err = a.Get("unknown", 0, 1)
@@ -44,7 +44,7 @@
 
 func TestRetainOnlyRemovesOtherNames(t *testing.T) {
 	dir := t.TempDir()
-	a, err := Open(dir)
+	a, err := Open(dir, nil)
 	require.NoError(t, err)
 	require.NoError(t, a.Put([]Entry{{Name: "one"}, {Name: "two"}}))
 	require.NoError(t, a.RetainOnly([]string{"two", "three"}))
@@ -58,7 +58,7 @@
 func TestOpenRemovesInterruptedWrites(t *testing.T) {
 	dir := t.TempDir()
 	require.NoError(t, os.WriteFile(filepath.Join(dir, fileName("one")+durable.TempSuffix), []byte("half"), testFileMode))
-	a, err := Open(dir)
+	a, err := Open(dir, nil)
 	require.NoError(t, err)
 	assert.False(t, a.Has("one"))
 	files, err := os.ReadDir(dir)
@@ -68,7 +68,7 @@
 
 func TestGetDetectsDamage(t *testing.T) {
 	dir := t.TempDir()
-	a, err := Open(dir)
+	a, err := Open(dir, nil)
 	require.NoError(t, err)
 	require.NoError(t, a.Put([]Entry{{Name: "one", Texts: []string{"first", "second"}}}))
 	path := filepath.Join(dir, fileName("one"))
--- a/services/jobhost/archiver.go
+++ b/services/jobhost/archiver.go
@@ -43,7 +43,7 @@
 }
 
 func newArchiver(s *Server) (*archiver, error) {
-	files, err := archive.Open(filepath.Join(s.cfg.DataDir, archiveDir))
+	files, err := archive.Open(filepath.Join(s.cfg.DataDir, archiveDir), s.cfg.FS)
 	if err != nil {
 		return nil, err
 	}
