--- a/services/standin/listener.go
+++ b/services/standin/listener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
@@ -13,6 +14,7 @@
 type connListener struct {
 	listener net.Listener
 	serving  conc.WaitGroup
+	open     atomic.Int64 // connections that are being served
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -40,7 +42,9 @@
 			c.mu.Lock()
 			c.conns = append(c.conns, conn)
 			c.mu.Unlock()
+			c.open.Add(1)
 			c.serving.Go(func() {
+				defer c.open.Add(-1)
 				defer conn.Close()
 				serve(conn)
 			})
@@ -48,6 +52,9 @@
 	})
 }
 
+// OpenConns returns the number of connections that are not closed yet.
+func (c *connListener) OpenConns() int64 { return c.open.Load() }
+
 // Close closes the listener and all connections, and waits until they are served.
 func (c *connListener) Close() {
 	_ = c.listener.Close()
--- a/services/standin/raw.go
+++ b/services/standin/raw.go
@@ -11,12 +11,17 @@
 type Raw struct {
 	*connListener
 	Addr    string
-	respond func(r *http.Request) string
+	respond func(r *http.Request) Cut
 }
 
 // NewRaw starts a target whose responses respond returns, which may be called concurrently.
 // Close stops it.
 func NewRaw(respond func(r *http.Request) string) (*Raw, error) {
+	return NewCut(func(r *http.Request) Cut { return Cut{Sent: respond(r)} })
+}
+
+// NewCut is NewRaw for responses after which the connection may also be reset.
+func NewCut(respond func(r *http.Request) Cut) (*Raw, error) {
 	l, err := listenLoopback()
 	if err != nil {
 		return nil, err
@@ -34,5 +39,9 @@
 	if _, err := io.Copy(io.Discard, request.Body); err != nil { // unread bytes would reset the connection
 		return
 	}
-	_, _ = io.WriteString(conn, t.respond(request)) // fails if the caller has closed the connection
+	response := t.respond(request)
+	_, _ = io.WriteString(conn, response.Sent) // fails if the caller has closed the connection
+	if tcp, ok := conn.(*net.TCPConn); ok && response.Reset {
+		_ = tcp.SetLinger(0) // closing resets the connection
+	}
 }
