services/replicated: a power loss before the job group exists does not prevent it

Cause: only a host that is told of the first start may create the group, and it is told only once. The host now records the first start on its disk until the group has an entry; a lost disk loses the record, too. The signal test starts a host that ended by itself, so that its end does not hide what the others hold (it is still reported).

--- a/cmd/banyan-site-store/main.go
+++ b/cmd/banyan-site-store/main.go
@@ -13,6 +13,7 @@
 	"banyanwalk/infra/rpc"
 	"banyanwalk/platform"
 	"banyanwalk/services/jobhost"
+	"banyanwalk/services/replicated"
 )
 
 // jobRetentionMargin is added to the configured retention of finished jobs. Hosts
@@ -34,10 +35,14 @@
 	if err != nil {
 		return err
 	}
+	mayBootstrap, err := replicated.BeginFirstStart(p.Settings.DataDir, p.Settings.Bootstrap)
+	if err != nil {
+		return err
+	}
 	host := jobhost.New(jobhost.Config{
 		Name:         p.Settings.Host,
 		Addr:         p.Settings.StorageRPCAddr,
-		MayBootstrap: p.Settings.Bootstrap,
+		MayBootstrap: mayBootstrap,
 		VoterCount:   p.Settings.VoterCount(),
 		DataDir:      p.Settings.DataDir,
 		JobRetention: p.Settings.JobRetention + jobRetentionMargin,
--- a/services/replicated/group.go
+++ b/services/replicated/group.go
@@ -106,14 +106,53 @@
 	return all
 }
 
+// firstStartFile is in a data directory from the first start of the whole site
+// until the group exists. It is lost with the disk.
+const (
+	firstStartFile = "first-start"
+	dirMode        = 0o700
+)
+
 // HasState reports whether a data directory holds a replica, whose log then
-// names the other members of the group.
+// names the other members of the group. It does not count one that has been there
+// only since a first start at which no group came to exist.
 func HasState(dir string) bool {
+	if inFirstStart(dir) {
+		return false
+	}
 	// Other entries may be there, for example of a first start on a full disk.
 	_, err := os.Stat(filepath.Join(dir, logDir))
 	return err == nil
 }
 
+func inFirstStart(dir string) bool {
+	_, err := os.Stat(filepath.Join(dir, firstStartFile))
+	return err == nil
+}
+
+// BeginFirstStart reports whether a host may be an initial member of its group: at
+// the first start of the whole site, and at later starts until EndFirstStart, as a
+// host may lose power before the group exists and is told of its first start only once.
+func BeginFirstStart(dir string, firstStart bool) (bool, error) {
+	if !firstStart || HasState(dir) {
+		return firstStart || inFirstStart(dir), nil
+	}
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return false, errors.Wrap(err, "create data directory")
+	}
+	return true, errors.Wrap(durable.WriteFile(durable.OS{}, filepath.Join(dir, firstStartFile)), "record the first start")
+}
+
+// EndFirstStart is called when the group exists: with an empty log the host has then
+// lost its disk.
+func EndFirstStart(dir string) error {
+	err := os.Remove(filepath.Join(dir, firstStartFile))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return errors.Wrap(err, "end the first start")
+	}
+	return nil
+}
+
 // Open recovers this host's replica from cfg.Dir or creates it.
 func Open[R any](cfg Config, machine replica.StateMachine) (*Group[R], error) {
 	id, err := ID(cfg.Addr)
--- a/tests/site/signals_test.go
+++ b/tests/site/signals_test.go
@@ -617,6 +617,7 @@
 	for _, h := range r.site.Hosts {
 		if h.awaitExit(time.Millisecond) {
 			r.violation("%s ended by itself, see %s", h.Name, h.LogPath())
+			require.NoError(t, h.Start()) // so that its end does not hide what the others hold
 		}
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), recoveryTimeout)
