cmd/internal/site: SIGHUP during the start does not end a process

Cause: the handler was set after the settings were read and logging began; until then the default action ends the process. It is the first statement of the program now. TestSettingsSignalDuringStart, which holds a process at its settings, fails before (broken pipe: the process is gone) and passes now. What remains is the time before main.

--- a/cmd/internal/site/site.go
+++ b/cmd/internal/site/site.go
@@ -60,18 +60,20 @@
 // Main parses the command line, runs the program until SIGTERM or SIGINT, and
 // exits the process.
 func Main(program, summary string, run func(ctx context.Context, p *Process) error) {
+	reloadSignals := make(chan os.Signal, 1)
+	signal.Notify(reloadSignals, syscall.SIGHUP) // first of all: the default action of SIGHUP ends the process
 	set := settings.New(program, summary+"; the environment variable "+platform.SettingsEnvVar+" names its settings file")
 	port := set.Int("metrics-port", 0, "port for /metrics on the address of the host; 0: none")
 	level := set.String("log-level", "info", "log level")
 	if err := set.Parse(os.Args[1:], os.Stdout); err != nil {
 		settings.Exit(program, err)
 	}
-	settings.Exit(program, start(program, *port, *level, run))
+	settings.Exit(program, start(program, *port, *level, reloadSignals, run))
 }
 
 // start reads the settings file, sets up logging, memory limits and signals, and
 // calls run. The log is flushed last, so that it contains process_stopped.
-func start(program string, port int, level string, run func(ctx context.Context, p *Process) error) error {
+func start(program string, port int, level string, reloadSignals chan os.Signal, run func(ctx context.Context, p *Process) error) error {
 	content, err := platform.ReadSettings()
 	if err != nil {
 		return err
@@ -81,7 +83,7 @@
 		return errors.Wrap(err, "settings file "+os.Getenv(platform.SettingsEnvVar))
 	}
 	p := &Process{Settings: loaded, initialSettings: content, Metrics: metrics.NewRegistry(), metricsPort: port,
-		logWriter: telemetry.NewAsyncWriter(os.Stdout), reloadSignals: make(chan os.Signal, 1)}
+		logWriter: telemetry.NewAsyncWriter(os.Stdout), reloadSignals: reloadSignals}
 	p.Log, err = telemetry.NewLog(telemetry.Options{Process: program + "/" + loaded.Host, DataCentre: loaded.DataCentre, Level: level, Output: p.logWriter})
 	if err != nil {
 		return errors.Wrap(err, "-log-level")
@@ -92,8 +94,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	signal.Notify(p.reloadSignals, syscall.SIGHUP) // the default action of SIGHUP ends the process
-	defer signal.Stop(p.reloadSignals)
+	defer signal.Stop(reloadSignals)
 	loggingCtx, stopLogging := context.WithCancel(context.Background())
 	var logTask, metricsTask conc.WaitGroup
 	logTask.Go(func() { p.logWriter.Run(loggingCtx) })
