--- a/services/director/orders_test.go
+++ b/services/director/orders_test.go
@@ -72,6 +72,7 @@
 	defer copies.Wait()
 	acknowledged := make(chan struct{})
 	var once sync.Once
+	tooLate := time.After(waitTimeout)
 	for {
 		h.mu.Lock()
 		server := h.servers[random.IntN(len(h.servers))]
@@ -86,6 +87,9 @@
 		select {
 		case <-acknowledged:
 			return
+		case <-tooLate:
+			h.t.Error("no host acknowledges the order")
+			return
 		case <-time.After(time.Duration(5+random.IntN(150)) * time.Millisecond):
 		}
 	}
@@ -152,6 +156,7 @@
 			})
 		}
 		wg.Wait()
+		require.False(t, t.Failed())
 		var expected []string
 		for _, name := range []string{"b", "c"} {
 			if out[name] {
