site-control: a power loss before the control group exists does not prevent it

What callers saw: no configuration is ever accepted, since the control hosts lost power before their group had its first entry.

Cause: as for storage hosts (services/replicated: BeginFirstStart): only hosts that are told of the first start may create the group, and they are told only once.

Change: control hosts record the first start as storage hosts do; the group itself ends the record, for both.

--- a/cmd/banyan-site-control/main.go
+++ b/cmd/banyan-site-control/main.go
@@ -55,7 +55,11 @@
 
 // startControl starts a control host that replicates the catalog on its disk.
 func startControl(ctx context.Context, tasks *pool.ContextPool, p *site.Process, operatorListener, rpcListener net.Listener) error {
-	joining := !p.Settings.Bootstrap || !p.Settings.IsSeed()
+	mayCreateGroup, err := replicated.BeginFirstStart(p.Settings.DataDir, p.Settings.Bootstrap && p.Settings.IsSeed())
+	if err != nil {
+		return err
+	}
+	joining := !mayCreateGroup
 	control, err := director.New(director.Config{
 		Name:         p.Settings.Host,
 		DataCentre:   p.Settings.DataCentre,
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -158,7 +158,7 @@
 	p.Go(func(ctx context.Context) error { return group.Serve(ctx, s.wire, l) })
 	p.Go(s.runner.run)
 	p.Go(func(ctx context.Context) error { return s.watchMembership(ctx, group) })
-	for _, task := range []func(context.Context){s.archiver.run, s.reporter.Run, s.origins.run, func(ctx context.Context) { s.endFirstStart(ctx, group) }} {
+	for _, task := range []func(context.Context){s.archiver.run, s.reporter.Run, s.origins.run} {
 		p.Go(func(ctx context.Context) error {
 			task(ctx)
 			return nil
--- a/services/jobhost/membership.go
+++ b/services/jobhost/membership.go
@@ -86,19 +86,6 @@
 	return true
 }
 
-// endFirstStart waits until the group has committed its first entry, from when on this
-// host must not help to create it again.
-func (s *Server) endFirstStart(ctx context.Context, group *replicated.Group[jobs.ApplyResult]) {
-	for group.Replica().Status().Commit == 0 {
-		if !pause.For(ctx, membershipPollInterval) {
-			return
-		}
-	}
-	if err := replicated.EndFirstStart(s.cfg.DataDir); err != nil {
-		s.log.Warn("first_start_not_ended", "error", err)
-	}
-}
-
 // shouldJoin reports whether host id should join a group that wants the given
 // number of hosts. hosts are the reachable storage hosts, the leader first. If
 // there are several candidates, those with the lowest ids join.
--- a/services/replicated/group.go
+++ b/services/replicated/group.go
@@ -38,6 +38,8 @@
 	electionTimeout     = 700 * time.Millisecond
 	replaceAfter        = 5 * time.Second
 	leaderRetryInterval = 20 * time.Millisecond // wait before the leader is looked up again
+
+	firstEntryPollInterval = 500 * time.Millisecond
 )
 
 // logDir is the directory of the log inside a data directory. Package wal creates it
@@ -232,9 +234,26 @@
 		defer stop()
 		return g.run(ctx)
 	})
+	p.Go(func() error {
+		g.endFirstStart(ctx)
+		return nil
+	})
 	return p.Wait()
 }
 
+// endFirstStart waits until the group has committed its first entry, from when on this
+// host must not help to create it again.
+func (g *Group[R]) endFirstStart(ctx context.Context) {
+	for g.replica.Status().Commit == 0 {
+		if !pause.For(ctx, firstEntryPollInterval) {
+			return
+		}
+	}
+	if err := EndFirstStart(g.cfg.Dir); err != nil {
+		g.cfg.Log.Warn("first_start_not_ended", "error", err)
+	}
+}
+
 // run runs the replica until ctx ends or the transport fails. The transport stops only after the
 // replica, which still sends messages while it transfers its leadership.
 func (g *Group[R]) run(ctx context.Context) error {
--- a/tests/site/first_start_test.go
+++ b/tests/site/first_start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 	"os"
 	"syscall"
@@ -45,3 +46,28 @@
 		return response.Status == http.StatusAccepted
 	}, conditionTimeout/2, 100*time.Millisecond, "%v", &response)
 }
+
+// Guards against a site without a control group, which accepts no configuration, because
+// control hosts lost power before the group had its first entry.
+func TestPowerLossBeforeControlGroupExists(t *testing.T) {
+	s := New(binaries, t.TempDir(), 186, 1, 3, 0)
+	t.Cleanup(s.Close)
+	controls := s.Role(Control)
+	early, late := controls[:2], controls[2] // the group needs all three to be created
+	for _, h := range early {
+		require.NoError(t, h.Start())
+		require.Eventually(t, func() bool {
+			log, err := os.ReadFile(h.LogPath())
+			return err == nil && bytes.Contains(log, []byte("msg=replica_opened"))
+		}, conditionTimeout, time.Millisecond)
+	}
+	for _, h := range early {
+		h.Kill()
+		require.NoError(t, h.Start())
+	}
+	require.NoError(t, late.Start())
+	_, body := s.NextConfiguration("llm")
+	ctx, cancel := context.WithTimeout(t.Context(), conditionTimeout/2)
+	defer cancel()
+	require.NoError(t, s.PutConfiguration(ctx, body))
+}
