control/replica: keep no messages while the disk refuses writes

Messages that need the disk are kept until the batch in progress is saved.

They are dropped while the disk refuses writes; their senders repeat them. TestReplicaKeepsNoMessagesWhileDiskRefusesWrites failed before (1009 messages kept).

--- a/services/control/replica/failing_disk_test.go
+++ b/services/control/replica/failing_disk_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"banyanwalk/core/raft"
 	"banyanwalk/infra/durable/durabletest"
 )
 
@@ -158,3 +159,22 @@
 		})
 	}
 }
+
+// The leader repeats its entries or its snapshot several times a second, so a replica
+// that kept them while its disk refused writes ran out of memory.
+func TestReplicaKeepsNoMessagesWhileDiskRefusesWrites(t *testing.T) {
+	c := newClusterOnDisks(t, Config{})
+	c.proposeMany(0, 5)
+	id := c.leader().replica.Status().ID%3 + 1
+	c.disks[id].SetRoom(0)
+	c.proposeMany(5, 10)
+	c.waitForRefusal(id)
+	n := c.node(id)
+	const count = 1000
+	for range count {
+		n.replica.Step(raft.Message{Type: raft.MsgAppend})
+	}
+	c.waitForRefusal(id)
+	c.stop(id)
+	require.Less(t, len(n.replica.deferred), count)
+}
--- a/services/control/replica/saving.go
+++ b/services/control/replica/saving.go
@@ -82,11 +82,11 @@
 		case err := <-r.saver.failures:
 			r.noteRefusal(&w, err)
 		case <-r.ticker.C:
-			r.stepWhileSaving()
+			r.stepWhileSaving(&w)
 			r.tickWhileSaving(&w)
 			r.failCalls(&w)
 		case <-r.inbox.wake:
-			r.stepWhileSaving()
+			r.stepWhileSaving(&w)
 		}
 		r.publishStatus()
 		r.sendAll(r.core.MessagesWhileSaving())
@@ -152,15 +152,16 @@
 }
 
 // stepWhileSaving passes the queued messages that don't need the disk to the
-// consensus and keeps the others for later.
-func (r *Replica) stepWhileSaving() {
+// consensus and keeps the others for later. While the disk refuses writes, which may
+// last, the others are dropped: their senders repeat them, and each may hold a snapshot.
+func (r *Replica) stepWhileSaving(w *diskWait) {
 	messages := r.inbox.take()
 	now := time.Now()
 	for _, m := range messages {
 		switch {
 		case raft.MayStepWhileSaving(m.Type):
 			r.core.Step(now, m)
-		case len(r.deferred) < maxInboxMessages:
+		case w.refusals == 0 && len(r.deferred) < maxInboxMessages:
 			r.deferred = append(r.deferred, m)
 		}
 	}
