infra/wal: repeat the cut of an unsynced frame

The cut that follows a failed sync was tried once. If it failed and no new segment could be started, on a full disk for example, the frame stayed in the file. The next process found it, synced the file, which may write nothing after a failed sync, and relied on it; a power loss removed it.

Each failed start of a segment now repeats the cut, as package payload does. TestUnsyncedFrameIsCutOnceTruncationWorksAgain failed before (1 entry, 2 relied on).

--- a/infra/wal/tail.go
+++ b/infra/wal/tail.go
@@ -21,7 +21,9 @@
 	switch {
 	case l.tailState == tailEnded || l.tailSize >= l.options.SegmentBytes:
 		l.tailState = tailEnded
-		return l.startSegment()
+		if err := l.startSegment(); err != nil {
+			return errors.CombineErrors(err, l.cutEndedTail())
+		}
 	case l.tailState == tailTorn:
 		if err := l.cutTail(); err != nil {
 			return err
@@ -31,6 +33,15 @@
 	return nil
 }
 
+// cutEndedTail repeats the cut after a failed sync, which may have failed, too, as long
+// as no new segment supersedes the frame.
+func (l *Log) cutEndedTail() error {
+	if l.tailFile == nil {
+		return nil // the last segment was removed when the log was opened
+	}
+	return l.cutTail()
+}
+
 // cutTail removes what follows the last synced frame, so that a process that opens
 // the log now does not take it for synced. A frame that is on disk all the same is
 // superseded by the next segment, which starts with its sequence number.
