control/replica: count a refusal for its own batch

A refusal and the result of its repetition reach the loop through two channels. A loop that was delayed for 50 ms, by a frozen process for example, could read the result first and the refusal with the next batch: a leader whose disk works then handed over, and failed proposals and reads.

The end of a wait now reads the refusal, too. TestRefusalIsCountedForItsOwnBatch failed before (the refusal was still queued).

--- a/services/control/replica/failing_disk_test.go
+++ b/services/control/replica/failing_disk_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -178,3 +179,17 @@
 	c.stop(id)
 	require.Less(t, len(n.replica.deferred), count)
 }
+
+// A refusal that the loop had not read yet when its batch was saved was counted for the
+// next batch, so that a leader whose disk works might hand over.
+func TestRefusalIsCountedForItsOwnBatch(t *testing.T) {
+	r, err := Open(Config{ID: 1, Peers: []uint64{1}, Dir: t.TempDir()}, &recordingStateMachine{}, memoryTransport{})
+	require.NoError(t, err)
+	r.saver.failures <- syscall.ENOSPC
+	var w diskWait
+	r.endDiskWait(&w, nil, 1)
+	require.Empty(t, r.saver.failures)
+	require.Equal(t, 1, w.refusals)
+	require.False(t, r.Status().DiskFailing)
+	require.NoError(t, r.wal.Close())
+}
--- a/services/control/replica/saving.go
+++ b/services/control/replica/saving.go
@@ -132,6 +132,11 @@
 
 // endDiskWait logs the end of a wait for the disk.
 func (r *Replica) endDiskWait(w *diskWait, err error, entries int) {
+	select {
+	case refusal := <-r.saver.failures:
+		r.noteRefusal(w, refusal)
+	default:
+	}
 	if w.refusals == 0 {
 		r.logSlowSync(time.Since(w.started), entries)
 		return
