control/payload: repeat the cut of a segment behind the active one

After a failed sync the unsynced records are cut off. A cut that failed was repeated only for the active segment. Where the segment had filled up meanwhile, the records stayed in the file: the next process took them for stored and acknowledged a put of one without writing it, and a power loss removed it.

A store with such a segment cuts it before the next write. TestFullSegmentIsCutOnceTruncationWorksAgain failed before.

--- a/services/control/payload/store.go
+++ b/services/control/payload/store.go
@@ -62,6 +62,7 @@
 	active   *segment // nil before the first segment
 	lastID   uint64   // highest id of a segment that was created or found
 	pending  []pendingRecord
+	fullTorn bool // a segment before the active one may be torn
 	closed   bool
 
 	// syncMu is held during syncs and until their outcome is settled: the operating
@@ -234,9 +235,7 @@
 	if s.active == nil {
 		return s.startSegment()
 	}
-	// Otherwise a process that opens the store later takes what a failed sync has lost
-	// for stored.
-	if err := s.active.cut(); err != nil {
+	if err := s.cutTorn(); err != nil {
 		return err
 	}
 	if s.active.ended || s.active.size >= s.segmentBytes {
@@ -245,6 +244,20 @@
 	return nil
 }
 
+// cutTorn repeats the cuts that have failed. Otherwise a process that opens the store
+// later takes what a failed sync has lost for stored. The caller holds mu.
+func (s *Store) cutTorn() error {
+	if s.fullTorn {
+		for _, seg := range s.segments {
+			if err := seg.cut(); err != nil {
+				return err
+			}
+		}
+		s.fullTorn = false
+	}
+	return s.active.cut()
+}
+
 // write appends a record to the active segment, or to a new one when that is full or
 // ended. The caller holds mu.
 func (s *Store) write(ref batch.Ref, data []byte, lastPut time.Time) (*location, error) {
@@ -334,6 +347,7 @@
 	seg.size = records[0].location.offset - headerBytes
 	seg.ended, seg.torn = true, true
 	s.syncErr = errors.CombineErrors(err, seg.cut())
+	s.fullTorn = s.fullTorn || seg.torn && seg != s.active
 }
 
 // Has reports whether the record is on this host and synced.
