docs: the metrics page check sees functional gauges; the racing-orders test prints the replicas

TestMetricsPageListsAllMetrics did not find raft.saves.refused and raft.disk.failing in the code, since it looked for typed GetOrRegister calls only; it looks for GetOrRegister, too.

--- a/services/director/orders_test.go
+++ b/services/director/orders_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"banyanwalk/infra/pause"
+	"banyanwalk/services/control/replica"
 	"banyanwalk/services/follow"
 )
 
@@ -88,13 +89,25 @@
 		case <-acknowledged:
 			return
 		case <-tooLate:
-			h.t.Error("no host acknowledges the order")
+			h.t.Errorf("no host acknowledges the order; replicas: %+v", h.statuses())
 			return
 		case <-time.After(time.Duration(5+random.IntN(150)) * time.Millisecond):
 		}
 	}
 }
 
+// statuses returns the state of the replicas that run.
+func (h *hostTrio) statuses() (all []replica.Status) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, server := range h.servers {
+		if server != nil {
+			all = append(all, server.group.Replica().Status())
+		}
+	}
+	return all
+}
+
 // restart stops some hosts, at once or in turn, and starts them again.
 func (h *hostTrio) restart(random *rand.Rand) {
 	hosts := random.Perm(len(h.servers))[:1+random.IntN(len(h.servers))]
--- a/tests/docs_test.go
+++ b/tests/docs_test.go
@@ -49,7 +49,7 @@
 }
 
 var (
-	metricInCode = regexp.MustCompile(`(?:GetOrRegister(?:Counter|Gauge|Meter|Histogram)|NewLatency)\("([a-z._]+)"`)
+	metricInCode = regexp.MustCompile(`(?:GetOrRegister(?:Counter|Gauge|Meter|Histogram|)|NewLatency)\("([a-z._]+)"`)
 	metricInPage = regexp.MustCompile("(?m)^\\| `([a-z._]+)` \\|")
 )
 
