core/raft: repeat lost appends while the leader reads

Callers read faster than the heartbeat interval there, as callers of jobs and control hosts that confirm their catalog may.

Cause: each read starts a heartbeat round, and stalled replication was retried only on a tick that finds a heartbeat due. Rounds of reads put that off for as long as reads come, so an append that was lost while the leader probes a follower, for example with the connection of a host that restarts, was never sent again. Both followers may be in that state. Class: a retry that rides on a timer which other traffic resets.

Change: stalled replication is looked at on each tick; its own interval stays.

Evidence: TestLostAppendIsRepeatedWhileLeaderReads fails before (100 reads, a tenth of a heartbeat interval apart) and passes now; all tests of core/raft pass.

--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -95,6 +95,32 @@
 	require.Equal(t, maxInflightBytes, bytes)
 }
 
+// Each read starts a heartbeat round. A leader that read more often than it sends
+// heartbeats did not repeat a lost append, so nothing was committed as long as it read.
+func TestLostAppendIsRepeatedWhileLeaderReads(t *testing.T) {
+	r, now := newElectedLeader(t)
+	r.Step(now, Message{Type: MsgAppendResp, From: replica3, To: replica2, Term: 2, Index: 3})
+	_, _, err := r.Propose([]byte("new"))
+	require.NoError(t, err)
+	takeMessages(r) // lost
+	const readInterval = simHeartbeat / 10
+	repeated := false
+	for token := uint64(1); !repeated && token <= 100; token++ {
+		now = now.Add(readInterval)
+		r.ReadIndex(token)
+		r.Tick(now)
+		for _, m := range takeMessages(r) {
+			switch m.Type {
+			case MsgHeartbeat:
+				r.Step(now, Message{Type: MsgHeartbeatResp, From: m.To, To: replica2, Term: 2, Round: m.Round})
+			case MsgAppend:
+				repeated = true
+			}
+		}
+	}
+	require.True(t, repeated, "the append was not sent again within ten heartbeat intervals")
+}
+
 // A learner that lacks data outside the log must not become a voter: the host
 // that still has the data may be the next one lost.
 func TestLearnerIsNotPromotedWithoutItsData(t *testing.T) {
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -10,8 +10,8 @@
 		r.becomeFollower(r.term, ReplicaID{})
 		return
 	}
+	r.retryStalled()
 	if r.now.Sub(r.lastHeartbeat) >= r.cfg.HeartbeatInterval {
-		r.retryStalled()
 		r.sendRound()
 	}
 	r.advanceMembershipChange()
