--- a/infra/wal/failing_disk_test.go
+++ b/infra/wal/failing_disk_test.go
@@ -198,3 +198,43 @@
 	require.Len(t, r.Entries, relied)
 	require.NoError(t, l.Close())
 }
+
+// dirSyncing is a disk on which only syncs of files fail.
+type dirSyncing struct{ *durabletest.Disk }
+
+func (d dirSyncing) SyncDir(dir string) error {
+	d.SetFailSyncs(false)
+	defer d.SetFailSyncs(true)
+	return d.Disk.SyncDir(dir)
+}
+
+// Guards against a frame that is relied on though no sync of it has succeeded: a process
+// is killed between write and sync, the next one fails to sync what it has read and ends,
+// and the one after that opens the log.
+func TestFrameIsNotReliedOnAfterFailedSyncOfOpen(t *testing.T) {
+	disk := durabletest.NewDisk()
+	dir := filepath.Join(t.TempDir(), "data")
+	l, _, err := Open(dir, Options{FS: disk})
+	require.NoError(t, err)
+	require.NoError(t, l.Save(Batch{HardState: &raft.HardState{Term: 1}, Entries: []raft.Entry{entry(1, 1)}}))
+	require.NoError(t, l.encodeFrame(&record{HardState: &raft.HardState{Term: 2}, Entries: []raft.Entry{entry(2, 2)}}))
+	_, err = l.tailFile.Write(l.buffer) // killed before the sync
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+
+	disk.SetFailSyncs(true)
+	_, _, err = Open(dir, Options{FS: dirSyncing{disk}})
+	require.Error(t, err)
+	disk.SetFailSyncs(false)
+	l, r, err := Open(dir, Options{FS: disk})
+	require.NoError(t, err)
+	relied := len(r.Entries)
+	require.NoError(t, l.Save(Batch{HardState: &raft.HardState{Term: 3}, Entries: []raft.Entry{entry(3, 3)}}))
+	relied++
+	require.NoError(t, l.Close())
+	require.NoError(t, disk.LosePower(filepath.Dir(dir)))
+	l, r, err = Open(dir, Options{FS: disk})
+	require.NoError(t, err)
+	require.Len(t, r.Entries, relied)
+	require.NoError(t, l.Close())
+}
--- a/services/control/replica/failing_disk_test.go
+++ b/services/control/replica/failing_disk_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -193,3 +195,30 @@
 	require.False(t, r.Status().DiskFailing)
 	require.NoError(t, r.wal.Close())
 }
+
+// A voter whose disk refuses every write answers heartbeats, so it is never replaced by
+// a spare host, and the next failure leaves the group without a quorum.
+func TestVoterWithFailedDiskIsReplaced(t *testing.T) {
+	c := newClusterOnDisks(t, Config{VoterCount: 3, ReplaceAfter: 2 * DefaultElectionTimeout})
+	c.proposeMany(0, 5)
+	c.cfg.Joining = true
+	c.disks[4] = durabletest.NewDisk()
+	c.peers = append(c.peers, 4)
+	c.start(4)
+	hasLearner := func() bool { return len(c.leader().replica.Status().Learners) > 0 }
+	c.waitFor("a spare host", hasLearner)
+	var failed uint64
+	for _, id := range []uint64{1, 2, 3} {
+		if id != c.leader().replica.Status().ID {
+			failed = id
+		}
+	}
+	c.disks[failed].SetRoom(0)
+	defer c.disks[failed].SetRoom(-1)
+	c.proposeMany(5, 10)
+	c.waitForRefusal(failed)
+	isVoter := func() bool {
+		return slices.ContainsFunc(c.leader().replica.Status().Voters, func(r raft.ReplicaID) bool { return r.ID == failed })
+	}
+	require.Eventually(t, func() bool { return !isVoter() }, 20*DefaultElectionTimeout, 20*time.Millisecond)
+}
