replicated: ask package wal whether a directory holds a log

Cause: HasState named the log's directory itself, a second copy of infra/wal's layout. Change: wal.Exists answers; behaviour is unchanged.

--- a/infra/wal/directory.go
+++ b/infra/wal/directory.go
@@ -21,6 +21,13 @@
 	lockName        = "lock"
 )
 
+// Exists reports whether a data directory holds a log. What an unfinished first start
+// has left does not count.
+func Exists(dir string) bool {
+	_, err := os.Stat(filepath.Join(dir, logDirName))
+	return err == nil
+}
+
 // createLogDir creates an empty log directory with a new incarnation. The
 // directory is renamed to its final name only after its contents are synced, so
 // that a crash leaves no incomplete log.
--- a/services/replicated/group.go
+++ b/services/replicated/group.go
@@ -27,6 +27,7 @@
 	"banyanwalk/infra/rafttransport"
 	"banyanwalk/infra/rpc"
 	"banyanwalk/infra/telemetry"
+	"banyanwalk/infra/wal"
 	"banyanwalk/infra/wire"
 	"banyanwalk/services/control/replica"
 )
@@ -42,10 +43,6 @@
 	firstEntryPollInterval = 500 * time.Millisecond
 )
 
-// logDir is the directory of the log inside a data directory. Package wal creates it
-// under another name and renames it once it is complete.
-const logDir = "log"
-
 // Config is the configuration of this host's replica.
 type Config struct {
 	Group         uint32
@@ -119,12 +116,7 @@
 // names the other members of the group. It does not count one that has been there
 // only since a first start at which no group came to exist.
 func HasState(dir string) bool {
-	if inFirstStart(dir) {
-		return false
-	}
-	// Other entries may be there, for example of a first start on a full disk.
-	_, err := os.Stat(filepath.Join(dir, logDir))
-	return err == nil
+	return !inFirstStart(dir) && wal.Exists(dir)
 }
 
 func inFirstStart(dir string) bool {
