durabletest: one switch for truncations that fail

Cause: the tests of the log and of the payload store each wrapped the disk with the same type whose files cannot be cut. Change: Disk.SetFailTruncates, in place of both; the tests keep their steps and assertions.

--- a/infra/durable/durabletest/disk.go
+++ b/infra/durable/durabletest/disk.go
@@ -22,11 +22,12 @@
 type Disk struct {
 	durable.OS
 
-	mu        sync.Mutex
-	room      int // bytes that may still be written; -1: unlimited
-	failSyncs bool
-	current   map[string]*inode // by path
-	synced    map[string]*inode // directory entries that survive a power loss
+	mu            sync.Mutex
+	room          int // bytes that may still be written; -1: unlimited
+	failSyncs     bool
+	failTruncates bool
+	current       map[string]*inode // by path
+	synced        map[string]*inode // directory entries that survive a power loss
 }
 
 // inode is the content of a file that survives a power loss.
@@ -65,6 +66,13 @@
 	d.failSyncs = fail
 }
 
+// SetFailTruncates makes each truncation of an open file fail with EIO.
+func (d *Disk) SetFailTruncates(fail bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failTruncates = fail
+}
+
 // OpenFile implements durable.FS.
 func (d *Disk) OpenFile(path string, flag int, mode os.FileMode) (durable.File, error) {
 	d.mu.Lock()
@@ -269,6 +277,9 @@
 func (f *file) Truncate(size int64) error {
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
+	if f.disk.failTruncates {
+		return syscall.EIO
+	}
 	if err := f.File.Truncate(size); err != nil {
 		return err
 	}
--- a/infra/wal/failing_disk_test.go
+++ b/infra/wal/failing_disk_test.go
@@ -3,14 +3,12 @@
 import (
 	"os"
 	"path/filepath"
-	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"banyanwalk/core/raft"
-	"banyanwalk/infra/durable"
 	"banyanwalk/infra/durable/durabletest"
 )
 
@@ -140,48 +138,20 @@
 	})
 }
 
-// noTruncate is a disk whose files cannot be cut while *fail is set.
-type noTruncate struct {
-	*durabletest.Disk
-	fail *bool
-}
-
-type noTruncateFile struct {
-	durable.File
-	fail *bool
-}
-
-func (d noTruncate) OpenFile(path string, flag int, mode os.FileMode) (durable.File, error) {
-	f, err := d.Disk.OpenFile(path, flag, mode)
-	if err != nil {
-		return nil, err
-	}
-	return noTruncateFile{f, d.fail}, nil
-}
-
-func (f noTruncateFile) Truncate(size int64) error {
-	if *f.fail {
-		return syscall.EIO
-	}
-	return f.File.Truncate(size)
-}
-
 // Where the cut after a failed sync failed, too, and the disk was then full, the frame
 // stayed in the file. The next process relied on it, and a power loss removed it.
 func TestUnsyncedFrameIsCutOnceTruncationWorksAgain(t *testing.T) {
 	disk := durabletest.NewDisk()
 	dir := filepath.Join(t.TempDir(), "data")
-	fail := false
-	fs := noTruncate{disk, &fail}
-	l, _, err := Open(dir, Options{FS: fs})
+	l, _, err := Open(dir, Options{FS: disk})
 	require.NoError(t, err)
 	require.NoError(t, l.Save(Batch{HardState: &raft.HardState{Term: 1}, Entries: []raft.Entry{entry(1, 1)}}))
 	second := Batch{HardState: &raft.HardState{Term: 2}, Entries: []raft.Entry{entry(2, 2)}}
 	disk.SetFailSyncs(true)
-	fail = true
+	disk.SetFailTruncates(true)
 	require.Error(t, l.Save(second))
 	disk.SetFailSyncs(false)
-	fail = false
+	disk.SetFailTruncates(false)
 	disk.SetRoom(0)
 	for range 10 {
 		require.Error(t, l.Save(second))
--- a/services/control/payload/failing_disk_test.go
+++ b/services/control/payload/failing_disk_test.go
@@ -4,7 +4,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"syscall"
 	"testing"
 	"time"
 
@@ -238,40 +237,13 @@
 	})
 }
 
-// noTruncate is a disk whose files cannot be cut while *fail is set.
-type noTruncate struct {
-	*durabletest.Disk
-	fail *bool
-}
-
-type noTruncateFile struct {
-	durable.File
-	fail *bool
-}
-
-func (d noTruncate) OpenFile(path string, flag int, mode os.FileMode) (durable.File, error) {
-	f, err := d.Disk.OpenFile(path, flag, mode)
-	if err != nil {
-		return nil, err
-	}
-	return noTruncateFile{f, d.fail}, nil
-}
-
-func (f noTruncateFile) Truncate(size int64) error {
-	if *f.fail {
-		return syscall.EIO
-	}
-	return f.File.Truncate(size)
-}
-
 // Where the sync of a segment behind the active one failed, and so did the cut, the record
 // stayed in the file. The next process took it for stored and acknowledged it without
 // writing it, and a power loss removed it.
 func TestFullSegmentIsCutOnceTruncationWorksAgain(t *testing.T) {
 	disk := durabletest.NewDisk()
 	dir := filepath.Join(t.TempDir(), "payload")
-	fail := false
-	s, err := Open(dir, 1, testOpenTime, noTruncate{disk, &fail})
+	s, err := Open(dir, 1, testOpenTime, disk)
 	require.NoError(t, err)
 	mustPut(t, s, 1)
 	l, err := s.append(RefOf(recordData(2)), recordData(2))
@@ -279,10 +251,10 @@
 	_, err = s.append(RefOf(recordData(3)), recordData(3))
 	require.NoError(t, err)
 	disk.SetFailSyncs(true)
-	fail = true
+	disk.SetFailTruncates(true)
 	require.Error(t, s.sync(l))
 	disk.SetFailSyncs(false)
-	fail = false
+	disk.SetFailTruncates(false)
 	mustPut(t, s, 4)
 	mustPut(t, s, 5)
 	require.NoError(t, s.Close())
