jobhost, entry: log what an item's time went to, and the leader's load

Cause: the logs of an item told each run, but neither how long it had waited nor why; nothing showed whether the leader got its processor, nor that gateways were left without an answer and placed requests by themselves.

No decision changes.

Measured: tests of services/jobhost on items, and of the metrics page, pass.

--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -69,6 +69,17 @@
 // Service returns a service by its name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// EngineServices returns the names of the services whose targets are model engines.
+func (t *Table) EngineServices() []string {
+	var names []string
+	for name, service := range t.services {
+		if service.Slots > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // RequiresKeys reports whether requests on non-public routes need an API key.
 func (t *Table) RequiresKeys() bool { return len(t.workspacesByName) > 0 }
 
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -17,6 +17,7 @@
 	"banyanwalk/infra/telemetry"
 	"banyanwalk/services/crashreport"
 	"banyanwalk/services/follow"
+	"banyanwalk/services/replicated"
 	"banyanwalk/services/targetcall"
 )
 
@@ -111,6 +112,7 @@
 	cfg.Follower.Targets.ShareLimits(cfg.Name)
 	s.preemptions = newPreemptions(s.jobs)
 	s.slots = newSlots(cfg.Follower, s.jobs)
+	s.slots.unanswered = s.noteUnanswered
 	s.tokens = newTokens(cfg.Follower, s.jobs, s.metrics)
 	s.origins = newStreamOrigins(cfg.Follower, s.jobs, metrics.GetOrRegisterCounter("entry.stream_reports.dropped", cfg.Metrics))
 	s.reporter = crashreport.New(cfg.Follower, cfg.Log, metrics.GetOrRegisterCounter("entry.crash_reports.dropped", cfg.Metrics))
@@ -119,6 +121,14 @@
 	return s
 }
 
+// noteUnanswered counts and logs that the broker did not answer a request for a slot. It
+// is not asked for a while then, which bounds the lines.
+func (s *Server) noteUnanswered(host uint64, err error) {
+	s.metrics.slotsUnanswered.Inc(1)
+	addr, _ := replicated.Addr(host)
+	s.log.Info("broker_unanswered", "broker", addr, "not_asked_ms", ms(brokerRetryInterval), "error", err)
+}
+
 // Ready returns the reason why the gateway is not ready for requests, or nil.
 func (s *Server) Ready() error {
 	if s.draining.Load() {
--- a/services/entry/meters.go
+++ b/services/entry/meters.go
@@ -20,6 +20,7 @@
 	earlyReports     metrics.Counter // of what was spent, near the bound of a workspace
 	tokensAsked      metrics.Counter // of the broker
 	tokensUnanswered metrics.Counter
+	slotsUnanswered  metrics.Counter // requests that the broker did not answer in time
 	kinds            map[routing.Kind]*kindMetrics
 }
 
@@ -49,6 +50,7 @@
 		earlyReports:     metrics.GetOrRegisterCounter("entry.quota.early_reports", r),
 		tokensAsked:      metrics.GetOrRegisterCounter("entry.quota.asked", r),
 		tokensUnanswered: metrics.GetOrRegisterCounter("entry.quota.unanswered", r),
+		slotsUnanswered:  metrics.GetOrRegisterCounter("entry.slots.unanswered", r),
 		callersGone:      metrics.GetOrRegisterCounter("entry.callers.gone", r),
 	}
 }
--- a/services/entry/slots.go
+++ b/services/entry/slots.go
@@ -42,6 +42,7 @@
 	brokerRetryAt atomic.Int64 // no requests to the broker until then, nanoseconds since started
 	releases      chan release
 	direct        *directSlots
+	unanswered    func(host uint64, err error) // is told of each request that the broker did not answer
 }
 
 type release struct {
@@ -70,7 +71,8 @@
 }
 
 func newSlots(f *follow.Follower, jobs *jobClient) *slots {
-	return &slots{follower: f, jobs: jobs, started: time.Now(), releases: make(chan release, releaseQueue), direct: newDirectSlots(f)}
+	return &slots{follower: f, jobs: jobs, started: time.Now(), releases: make(chan release, releaseQueue), direct: newDirectSlots(f),
+		unanswered: func(uint64, error) {}}
 }
 
 // acquire returns a slot, or the reason why there is none.
@@ -131,6 +133,7 @@
 	}
 	granted := &slot{brokered: true, broker: hosts[0], id: request.ID, total: grant.Total, expectedPace: grant.Pace}
 	if err != nil {
+		s.unanswered(hosts[0].ID, err)
 		s.pauseBroker()
 		s.queueRelease(granted, "") // the grant may still arrive
 		return nil, nil
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -78,6 +78,7 @@
 	broker   *broker
 	reporter *crashreport.Reporter
 	origins  *streamOrigins
+	load     *loadLog
 }
 
 // New returns a storage host. Run opens its replica and starts it.
@@ -136,6 +137,7 @@
 		return err
 	}
 	s.reporter = crashreport.New(s.cfg.Follower, s.log, metrics.GetOrRegisterCounter("jobhost.crash_reports.dropped", s.cfg.Metrics))
+	s.load = newLoadLog(s)
 	s.runner = newRunner(s, group)
 	s.broker = newBroker(s, s.runner)
 	s.origins = newStreamOrigins(s, metrics.GetOrRegisterCounter("broker.streams.dropped", s.cfg.Metrics))
@@ -158,7 +160,7 @@
 	p.Go(func(ctx context.Context) error { return group.Serve(ctx, s.wire, l) })
 	p.Go(s.runner.run)
 	p.Go(func(ctx context.Context) error { return s.watchMembership(ctx, group) })
-	for _, task := range []func(context.Context){s.archiver.run, s.reporter.Run, s.origins.run} {
+	for _, task := range []func(context.Context){s.archiver.run, s.reporter.Run, s.origins.run, s.load.run} {
 		p.Go(func(ctx context.Context) error {
 			task(ctx)
 			return nil
--- a/services/jobhost/progress.go
+++ b/services/jobhost/progress.go
@@ -36,6 +36,9 @@
 	fruitless int           // runs in a row that yielded no event
 	refusedBy string        // target that refused the last run; empty: it was not refused
 
+	// Runs under this leader that ended before the text was whole, and why.
+	runs, yielded, refused, broken int
+
 	mu         sync.Mutex
 	writer     uint64         // identifies this text from its beginning here; see jobs.Partial
 	former     uint64         // writer of the saved text that it went on from; 0: none, or its first part is saved
--- a/services/jobhost/run.go
+++ b/services/jobhost/run.go
@@ -48,10 +48,12 @@
 	timing         targetcall.Timing
 	pacePercent    int // that the target named in its response; 0: none
 	maxAttempts    int
-	startEvent     int64 // last event of the item before this run
-	loggedFailures int   // failed attempts that the replicated log holds
-	completed      bool  // whether the complete response arrived
-	preempted      bool  // whether it was cancelled for an online request; guarded by runner.mu
+	startEvent     int64     // last event of the item before this run
+	firstSeen      time.Time // when this host first saw the job
+	due            time.Time // by when the item is to be done
+	loggedFailures int       // failed attempts that the replicated log holds
+	completed      bool      // whether the complete response arrived
+	preempted      bool      // whether it was cancelled for an online request; guarded by runner.mu
 }
 
 // execute runs the item and records its result, or schedules it to run again.
@@ -73,6 +75,7 @@
 	switch {
 	case err == nil:
 		i.completed = true
+		i.logDone()
 		r.server.broker.noteResponse(time.Now(), i.target.ID, false)
 		r.trials.completed(i.parts)
 		r.follower.Targets.Succeeded(i.target.ID)
@@ -84,6 +87,9 @@
 	case errors.Is(cause, errTargetSilent):
 		i.retryElsewhere(err)
 	case cause != nil:
+		if errors.Is(cause, errPreempted) {
+			i.progress.yielded++
+		}
 		r.finishRun(i, !errors.Is(cause, errItemClosed))
 	case status == http.StatusUnprocessableEntity:
 		r.abandon(i.ref, "the target rejected it for good")
@@ -95,6 +101,16 @@
 	}
 }
 
+// logDone logs what the time of a completed item went to.
+func (i *itemRun) logDone() {
+	now := time.Now()
+	ran := i.progress.runTime + now.Sub(i.startedAt)
+	age := now.Sub(i.firstSeen)
+	i.runner.log.Info("item_done", "job", i.ref.Job, "item", i.ref.Item, "request", i.request.ID, "age_ms", age.Milliseconds(), "ran_ms", ran.Milliseconds(),
+		"waited_ms", (age - ran).Milliseconds(), "due_in_ms", i.due.Sub(now).Milliseconds(), "runs", i.progress.runs+1,
+		"yielded", i.progress.yielded, "refused", i.progress.refused, "broken", i.progress.broken)
+}
+
 // recordFailure counts a failed attempt, and abandons the item after the last
 // one.
 func (i *itemRun) recordFailure() {
@@ -120,7 +136,9 @@
 	i.progress.refusedBy = ""
 	if errors.As(err, &failure) && failure.IsBusy() {
 		i.progress.refusedBy = i.target.ID
+		i.progress.refused++
 	} else {
+		i.progress.broken++
 		r.follower.Targets.Failed(time.Now(), i.target.ID)
 	}
 	i.progress.notBefore = time.Now().Add(i.progress.nextRetryDelay(i.startEvent))
@@ -163,6 +181,7 @@
 		}
 		silenceTimer.Reset(silenceTimeout)
 		i.timing.Event(waitedSince, time.Now())
+		i.runner.server.load.events.Add(1)
 		if err := i.progress.appendEvent(event, origin); err != nil {
 			return 0, err
 		}
--- a/services/jobhost/runner.go
+++ b/services/jobhost/runner.go
@@ -135,11 +135,13 @@
 	r.server.broker.sweep(now)
 	r.cancelClosed()
 	r.preemptAtFullTargets()
+	began := time.Now()
 	order, items := r.runnableItems(now)
 	pass := newSchedulePass()
 	for i := range order {
 		r.startItem(ctx, now, order[i].Ref, items[order[i].Ref], pass)
 	}
+	r.server.load.passed(len(order), len(order), time.Since(began))
 	r.checkpoint(now)
 	r.dropExpired(ctx, now)
 }
@@ -203,6 +205,7 @@
 func (r *runner) finishRun(finished *itemRun, retry bool) {
 	r.mu.Lock()
 	finished.progress.runTime += time.Since(finished.startedAt)
+	finished.progress.runs++
 	if finished.completed {
 		r.durations.Observe(finished.tokens, finished.progress.runTime)
 	}
--- a/services/jobhost/schedule.go
+++ b/services/jobhost/schedule.go
@@ -109,7 +109,8 @@
 	runCtx, cancel := context.WithCancelCause(ctx)
 	started := &itemRun{runner: r, ref: ref, target: target, parts: parts, progress: itemProgress, startedAt: now, cancel: cancel,
 		request: r.targetRequest(job, spec, deadline), route: route.Name, tokens: spec.Tokens, held: query.HeldTokens(),
-		fill: r.follower.Targets.TotalLoad(target.ID), maxAttempts: job.MaxAttempts, loggedFailures: item.failures}
+		fill: r.follower.Targets.TotalLoad(target.ID), maxAttempts: job.MaxAttempts, loggedFailures: item.failures,
+		firstSeen: item.firstSeen, due: item.firstSeen.Add(time.Duration(job.CompletionMS) * time.Millisecond)}
 	r.running[ref] = started
 	r.mu.Unlock()
 	r.started.Inc(1)
