entry, jobhost: one stream for the slots of a gateway

Cause: each request for a slot was a call with a stream of its own, and each release another one: two streams, two goroutines each and some ten frames on both sides. At 1,360 requests a second that alone is the processor of the broker, which also runs all items. Answers later than 60 ms make gateways place requests by themselves, on old reports, which cuts items and fills targets unevenly.

Change: a gateway keeps one stream to the broker (MethodSlots). Requests and releases that come up while a message is written share the next one; the broker answers all requests of a message with one. Unary calls stay for gateways and brokers of a former build, and for the last releases of a gateway that stops.

Ruled out: longer batches of releases alone (15 requests a second and gateway leave nothing to share).

--- a/infra/rpc/site.go
+++ b/infra/rpc/site.go
@@ -3,6 +3,7 @@
 import (
 	"banyanwalk/core/catalog"
 	"banyanwalk/core/jobs"
+	"banyanwalk/core/outcome"
 	"banyanwalk/core/placement"
 	"banyanwalk/core/quarantine"
 	"banyanwalk/core/rollout"
@@ -36,6 +37,10 @@
 	MethodStreamFind  wire.Method = 122 // unary: StreamFind -> StreamFound, served by the broker
 	MethodStreamBegun wire.Method = 123 // unary: StreamsBegun -> Ack, served by the broker
 
+	// MethodSlots is a stream: SlotsAsk -> SlotsAnswer, served by the broker. It carries the
+	// same as MethodSlotAcquire and MethodSlotRelease, without a stream for each request.
+	MethodSlots wire.Method = 125
+
 	MethodTokenAcquire wire.Method = 124 // unary: TokenRequest -> Ack, served by the storage host that is the workspace's broker
 )
 
@@ -362,3 +367,21 @@
 	Runs   []placement.RunReport  `msgpack:"r,omitempty"`
 	Loads  []placement.LoadReport `msgpack:"l,omitempty"`
 }
+
+// SlotsAsk is what a gateway has for the broker at one moment.
+type SlotsAsk struct {
+	Acquire []SlotRequest `msgpack:"a,omitempty"` // each is answered, in any order
+	Release *SlotRelease  `msgpack:"r,omitempty"` // is not answered
+}
+
+// SlotsAnswer holds the answers to one or more SlotRequests.
+type SlotsAnswer struct {
+	Answers []SlotAnswer `msgpack:"a"`
+}
+
+// SlotAnswer is the answer to one SlotRequest: a grant, or the reason why there is none.
+type SlotAnswer struct {
+	ID      SlotID         `msgpack:"i"`
+	Grant   *SlotGrant     `msgpack:"g,omitempty"`
+	Refusal *outcome.Error `msgpack:"e,omitempty"`
+}
--- a/services/entry/slots.go
+++ b/services/entry/slots.go
@@ -43,6 +43,7 @@
 	releases      chan release
 	direct        *directSlots
 	unanswered    func(host uint64, err error) // is told of each request that the broker did not answer
+	links         *brokerLinks
 }
 
 type release struct {
@@ -72,7 +73,7 @@
 
 func newSlots(f *follow.Follower, jobs *jobClient) *slots {
 	return &slots{follower: f, jobs: jobs, started: time.Now(), releases: make(chan release, releaseQueue), direct: newDirectSlots(f),
-		unanswered: func(uint64, error) {}}
+		links: newBrokerLinks(jobs), unanswered: func(uint64, error) {}}
 }
 
 // acquire returns a slot, or the reason why there is none.
@@ -124,21 +125,18 @@
 	for id := range q.Exclude {
 		request.Exclude = append(request.Exclude, id)
 	}
-	bounded, cancel := context.WithTimeout(ctx, brokerTimeout)
-	defer cancel()
-	var grant rpc.SlotGrant
-	err := s.jobs.callOnce(bounded, brokerTimeout, hosts[0].ID, rpc.MethodSlotAcquire, request, &grant)
+	grant, err := s.ask(ctx, hosts[0].ID, request)
 	if outcome.IsCode(err, outcome.TargetBusy) || outcome.IsCode(err, outcome.BeyondShare) {
 		return nil, outcome.From(err)
 	}
-	granted := &slot{brokered: true, broker: hosts[0], id: request.ID, total: grant.Total, expectedPace: grant.Pace}
+	granted := &slot{brokered: true, broker: hosts[0], id: request.ID}
 	if err != nil {
 		s.unanswered(hosts[0].ID, err)
 		s.pauseBroker()
 		s.queueRelease(granted, "") // the grant may still arrive
 		return nil, nil
 	}
-	granted.version = grant.Version
+	granted.total, granted.expectedPace, granted.version = grant.Total, grant.Pace, grant.Version
 	granted.target = s.follower.Targets.Assign(granted.broker.BrokerID(), grant.Target)
 	switch {
 	case granted.target == nil:
@@ -156,6 +154,18 @@
 	return granted, nil
 }
 
+// ask sends a request to the broker on a storage host.
+func (s *slots) ask(ctx context.Context, host uint64, request *rpc.SlotRequest) (*rpc.SlotGrant, error) {
+	bounded, cancel := context.WithTimeout(ctx, brokerTimeout)
+	defer cancel()
+	if link := s.links.to(host); link != nil {
+		return link.acquire(bounded, request)
+	}
+	var grant rpc.SlotGrant
+	err := s.jobs.callOnce(bounded, brokerTimeout, host, rpc.MethodSlotAcquire, request, &grant)
+	return &grant, err
+}
+
 // brokerPaused reports whether the broker is not to be asked yet. The time since
 // the start doesn't jump with the time of day.
 func (s *slots) brokerPaused() bool {
@@ -227,8 +237,9 @@
 	}
 }
 
-// sendReleases sends queued releases until ctx ends.
+// sendReleases sends queued releases until ctx ends, and then ends the link to the broker.
 func (s *slots) sendReleases(ctx context.Context) {
+	defer s.links.close()
 	for {
 		select {
 		case <-ctx.Done():
@@ -236,7 +247,7 @@
 			return
 		case first := <-s.releases:
 			time.Sleep(releaseBatchDelay)
-			s.sendBatch(context.WithoutCancel(ctx), first, releaseTimeout)
+			s.giveBatch(context.WithoutCancel(ctx), first)
 		}
 	}
 }
@@ -245,19 +256,28 @@
 func (s *slots) sendLastReleases(ctx context.Context) {
 	select {
 	case first := <-s.releases:
-		s.sendBatch(context.WithoutCancel(ctx), first, lastReportTimeout)
+		for broker, message := range s.collectReleases(first) {
+			s.call(context.WithoutCancel(ctx), broker, message, lastReportTimeout)
+		}
 	default:
 	}
 }
 
-// sendBatch sends the queued releases. If one is lost, its slot expires with the request's
-// deadline.
-func (s *slots) sendBatch(ctx context.Context, first release, timeout time.Duration) {
+// giveBatch sends the queued releases over the link to their broker, or in calls of their
+// own. If one is lost, its slot expires with the request's deadline.
+func (s *slots) giveBatch(ctx context.Context, first release) {
 	for broker, message := range s.collectReleases(first) {
-		_ = s.jobs.callOnce(ctx, timeout, broker, rpc.MethodSlotRelease, message, &rpc.Ack{})
+		if link := s.links.open(broker); link == nil || !link.give(message) {
+			s.call(ctx, broker, message, releaseTimeout)
+		}
 	}
 }
 
+// call sends releases in a call, whose response shows that they have arrived.
+func (s *slots) call(ctx context.Context, broker uint64, message *rpc.SlotRelease, timeout time.Duration) {
+	_ = s.jobs.callOnce(ctx, timeout, broker, rpc.MethodSlotRelease, message, &rpc.Ack{})
+}
+
 // collectReleases groups the queued releases by broker.
 func (s *slots) collectReleases(next release) map[uint64]*rpc.SlotRelease {
 	messages := make(map[uint64]*rpc.SlotRelease)
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -151,6 +151,7 @@
 	wire.HandleUnary(s.wire, rpc.MethodJobsStatus, s.status)
 	wire.HandleUnary(s.wire, rpc.MethodSlotAcquire, s.broker.acquire)
 	wire.HandleUnary(s.wire, rpc.MethodSlotRelease, s.broker.release)
+	s.wire.Handle(rpc.MethodSlots, s.broker.serveSlots)
 	wire.HandleUnary(s.wire, rpc.MethodTokenAcquire, newTokenBroker(s).acquire)
 	wire.HandleUnary(s.wire, rpc.MethodStreamFind, s.origins.find)
 	wire.HandleUnary(s.wire, rpc.MethodStreamBegun, s.origins.report)
