gateway: the budget of bytes for the own fleet's gateway

What callers saw: banyan-gateway grew with the callers whose bodies stop short of their end, 320 MB with 64 of them. One body was bounded, all together were not.

Change: bodies of requests are read within the budget, with the document's limit on one body; -memory-bytes names the memory. Uploads stream as before.

--- a/cmd/banyan-gateway/main.go
+++ b/cmd/banyan-gateway/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"banyanwalk/cmd/internal/member"
@@ -17,6 +18,9 @@
 
 const program = "banyan-gateway"
 
+// memoryLimitPercent is the part of the memory that is the Go runtime's soft limit.
+const memoryLimitPercent = 70
+
 type options struct {
 	member.Member
 	listen  string
@@ -39,6 +43,7 @@
 	set.StringVar(&o.listen, "listen", "127.0.0.1:8080", "HTTP address for callers")
 	set.DurationVar(&o.cfg.DrainDelay, "drain-delay", gateway.DefaultDrainDelay, "time from the first failing /readyz to the closing of the listener at shutdown")
 	set.DurationVar(&o.cfg.DrainTimeout, "drain-timeout", gateway.DefaultDrainTimeout, "time for requests in flight to finish at shutdown")
+	set.Int64Var(&o.cfg.MemoryBytes, "memory-bytes", 0, "memory that this process may use, in bytes; bounds what requests and connections may hold together; 0: unknown, requests then hold 64 MiB at most")
 	o.httpTLS = tlsconf.AddListenerFlags(set)
 	set.RequireAddress("listen", &o.listen)
 }
@@ -54,6 +59,9 @@
 	if err != nil {
 		return err
 	}
+	if o.cfg.MemoryBytes > 0 {
+		debug.SetMemoryLimit(o.cfg.MemoryBytes * memoryLimitPercent / 100)
+	}
 	g := &node.Gateway{Common: common, Listener: listener, Settings: o.cfg}
 	return g.Run(ctx)
 }
--- a/services/gateway/config.go
+++ b/services/gateway/config.go
@@ -73,6 +73,7 @@
 	Log          *telemetry.Log
 	Metrics      metrics.Registry // nil: a private one
 	Mounts       []Mount
+	MemoryBytes  int64         // of the process, by which it bounds what requests hold; 0: unknown
 	DrainDelay   time.Duration // between readyz failing and the listener closing
 	DrainTimeout time.Duration // for in-flight requests, after the delay
 }
--- a/services/gateway/handler.go
+++ b/services/gateway/handler.go
@@ -32,6 +32,7 @@
 		stopWatch()
 		cancelDeadline()
 		cancelCause(nil)
+		r.held.Release()
 	}
 	if err := s.admit(ctx, r); err != nil {
 		cancel()
--- a/services/gateway/request.go
+++ b/services/gateway/request.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"bytes"
 	"encoding/json"
-	"io"
 	"strings"
 	"time"
 
@@ -15,6 +13,7 @@
 	"banyanwalk/core/fleet"
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/quarantine"
+	"banyanwalk/infra/bytebudget"
 	"banyanwalk/infra/rpc"
 )
 
@@ -37,6 +36,7 @@
 	path           string // at the target, including the query
 	headers        []rpc.Header
 	body           []byte
+	held           *bytebudget.Reservation // for body and its copies
 	digest         quarantine.Digest
 	idempotent     bool
 	idempotencyKey string // Idempotency-Key header; empty: none
@@ -86,16 +86,11 @@
 		r.keyDigest = auth.KeyDigest(key)
 	}
 	r.deadline = r.start.Add(r.timeout())
-	if r.body, err = readBody(c, r.maxBodyBytes()); err != nil {
+	if r.body, r.held, err = s.readBody(c, r.maxBodyBytes()); err != nil {
 		return nil, err
 	}
-	if err := r.resolveModel(c, path, key); err != nil {
-		return nil, err
-	}
-	if err := r.checkModel(index, workspace); err != nil {
-		return nil, err
-	}
-	if err := r.readIdempotencyKey(c, key); err != nil {
+	if err := r.checkContent(c, index, workspace, path, key); err != nil {
+		r.held.Release()
 		return nil, err
 	}
 	r.headers = forwardHeaders(c, key)
@@ -103,6 +98,17 @@
 	return r, nil
 }
 
+// checkContent checks what the body and the headers ask for.
+func (r *inboundRequest) checkContent(c fiber.Ctx, index *bundle.Index, workspace *bundle.Workspace, path, key string) error {
+	if err := r.resolveModel(c, path, key); err != nil {
+		return err
+	}
+	if err := r.checkModel(index, workspace); err != nil {
+		return err
+	}
+	return r.readIdempotencyKey(c, key)
+}
+
 // callerWorkspace returns the workspace and the key of a request; the workspace is
 // nil on an open route. A key sent to an open route is not checked, but returned
 // so that it is never forwarded.
@@ -146,31 +152,20 @@
 	return defaultMaxBodyBytes
 }
 
-// readBody returns a copy of the unmodified request body.
-func readBody(c fiber.Ctx, limit int) ([]byte, error) {
+// bodyCopies is how many copies of its body a request holds: the body, the frame to an
+// agent and its encoding.
+const bodyCopies = 3
+
+// readBody returns the unmodified request body, and what it holds of the gateway's memory.
+func (s *Server) readBody(c fiber.Ctx, limit int) ([]byte, *bytebudget.Reservation, error) {
 	if encoding := c.Get(fiber.HeaderContentEncoding); encoding != "" && encoding != "identity" {
-		return nil, outcome.New(outcome.BadRequest, outcome.NotRun, "compressed bodies are not taken")
-	}
-	tooLarge := outcome.New(outcome.BodyTooLarge, outcome.NotRun, "the body exceeds %d bytes", limit)
-	if c.Request().Header.ContentLength() > limit {
-		return nil, tooLarge
-	}
-	stream := c.Request().BodyStream()
-	if stream == nil {
-		body := bytes.Clone(c.Request().Body())
-		if len(body) > limit {
-			return nil, tooLarge
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
-	if err != nil {
-		return nil, outcome.New(outcome.CallerGone, outcome.NotRun, "the body did not arrive whole")
+		return nil, nil, outcome.New(outcome.BadRequest, outcome.NotRun, "compressed bodies are not taken")
 	}
-	if len(body) > limit {
-		return nil, tooLarge
+	held, failure := s.limits.ReadBodyUpTo(c.RequestCtx(), int64(limit), bodyCopies)
+	if failure != nil {
+		return nil, nil, failure
 	}
-	return body, nil
+	return c.Request().Body(), held, nil
 }
 
 // resolveModel sets the model or service of the request and the path at its target.
--- a/services/gateway/server.go
+++ b/services/gateway/server.go
@@ -15,6 +15,7 @@
 	"banyanwalk/core/outcome"
 	"banyanwalk/core/retry"
 	"banyanwalk/infra/httpapi"
+	"banyanwalk/infra/httplimits"
 )
 
 // Server is the HTTP server of one gateway.
@@ -25,6 +26,7 @@
 	retryBudget *retry.Budget
 	metrics     *serverMetrics
 	draining    atomic.Bool
+	limits      *httplimits.Limits
 }
 
 // New returns a gateway that is ready to serve.
@@ -44,11 +46,14 @@
 		IdleTimeout:       idleTimeout,
 		ErrorHandler:      s.handleError,
 	})
+	s.limits = httplimits.New(httplimits.Config{Name: "gateway.requests", MemoryBytes: cfg.MemoryBytes, RequestTimeout: readTimeout, Metrics: cfg.Metrics})
+	s.limits.Apply(s.app.Server())
 	s.registerRoutes()
 	return s
 }
 
 func (s *Server) registerRoutes() {
+	s.app.Use(s.judgeHead)
 	s.app.Use(s.closeWhenDraining)
 	s.app.Use(discardBody)
 	s.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
@@ -87,6 +92,7 @@
 	defer wg.Wait()
 	defer stopBackground()
 	wg.Go(func() { s.housekeep(background) })
+	wg.Go(func() { s.limits.Run(background) })
 	if limiter, ok := s.cfg.Limiter.(*RateLimiter); ok {
 		wg.Go(func() { _ = limiter.Run(background) })
 	}
@@ -116,6 +122,15 @@
 	}
 }
 
+// judgeHead refuses a request by what its head says of its size.
+func (s *Server) judgeHead(c fiber.Ctx) error {
+	if failure := s.limits.HeadArrived(c.RequestCtx()); failure != nil {
+		c.Response().Header.SetConnectionClose()
+		return httpapi.WriteError(c, failure, "")
+	}
+	return c.Next()
+}
+
 func (s *Server) closeWhenDraining(c fiber.Ctx) error {
 	err := c.Next()
 	if s.draining.Load() {
