jobhost: bound the bytes of jobs

Cause: tokens of jobs that wait are bounded, by workspace; the bytes of their bodies were not, neither those that wait nor those that are being committed, of which a voter holds four copies. Class: what a caller decides the size of is kept before it is counted.

Change: the leader refuses a job (503, code 907, not run) while the bodies of open items take an eighth of its memory, and commits jobs within a budget of another eighth; a resent job is accepted as before. Gateways pass the refusal on at once.

--- a/cmd/banyan-site-store/main.go
+++ b/cmd/banyan-site-store/main.go
@@ -46,6 +46,7 @@
 		VoterCount:   p.Settings.VoterCount(),
 		DataDir:      p.Settings.DataDir,
 		JobRetention: p.Settings.JobRetention + jobRetentionMargin,
+		MemoryBytes:  p.Settings.MemoryBytes,
 		HeaderNames:  platform.HeaderNames(),
 		PromptParts:  platform.ItemPromptParts,
 		ItemTokens:   platform.ItemTokens,
--- a/core/jobs/machine.go
+++ b/core/jobs/machine.go
@@ -112,6 +112,31 @@
 	return total
 }
 
+// OpenBytes returns the bytes of the bodies of all open items.
+func (m *Machine) OpenBytes() int64 {
+	total := int64(0)
+	for _, job := range m.order {
+		if !job.Unfinished() {
+			continue
+		}
+		for i := range job.Items {
+			if job.Open(i) {
+				total += int64(len(job.Items[i].Body))
+			}
+		}
+	}
+	return total
+}
+
+// Bytes returns the bytes of the bodies of the job's items.
+func (s *Spec) Bytes() int64 {
+	total := int64(0)
+	for i := range s.Items {
+		total += int64(len(s.Items[i].Body))
+	}
+	return total
+}
+
 func sumTokens(items []Item) int64 {
 	sum := int64(0)
 	for i := range items {
--- a/services/entry/jobs.go
+++ b/services/entry/jobs.go
@@ -228,7 +228,7 @@
 // isFinal reports whether every host would return the same failure.
 func isFinal(failure *outcome.Error) bool {
 	switch failure.Code {
-	case outcome.RateLimited, outcome.JobNotFound, outcome.IdempotencyMismatch, outcome.BadRequest, outcome.BodyTooLarge:
+	case outcome.RateLimited, outcome.JobNotFound, outcome.IdempotencyMismatch, outcome.BadRequest, outcome.BodyTooLarge, outcome.Overloaded:
 		return true
 	default:
 		return false
--- a/services/jobhost/handlers.go
+++ b/services/jobhost/handlers.go
@@ -15,6 +15,11 @@
 
 // submit accepts a job, and returns once a quorum has it on disk.
 func (s *Server) submit(ctx context.Context, spec *jobs.Spec) (*rpc.Ack, error) {
+	held, err := s.admitJob(ctx, spec)
+	if err != nil {
+		return nil, err
+	}
+	defer held.Release()
 	return s.execute(ctx, jobs.Command{Submit: spec})
 }
 
--- a/services/jobhost/jobhost.go
+++ b/services/jobhost/jobhost.go
@@ -59,11 +59,14 @@
 	// ItemTokens returns the tokens that a target may hold for an item, 0 if its
 	// headers name none; nil: the item's own token count is taken.
 	ItemTokens func([]jobs.Header) int64
-	FS         durable.FS // of the replicated state; nil: the operating system's
-	ServerTLS  *tls.Config
-	ClientTLS  *tls.Config
-	Log        *telemetry.Log
-	Metrics    metrics.Registry
+	// MemoryBytes is the memory of the process, by which it bounds what jobs hold; 0:
+	// unknown.
+	MemoryBytes int64
+	FS          durable.FS // of the replicated state; nil: the operating system's
+	ServerTLS   *tls.Config
+	ClientTLS   *tls.Config
+	Log         *telemetry.Log
+	Metrics     metrics.Registry
 }
 
 // Server is one storage host.
@@ -79,6 +82,7 @@
 	reporter *crashreport.Reporter
 	origins  *streamOrigins
 	load     *loadLog
+	room     *jobRoom
 }
 
 // New returns a storage host. Run opens its replica and starts it.
@@ -88,6 +92,7 @@
 		log:   cfg.Log,
 		wire:  wire.NewServer(cfg.Log, cfg.ServerTLS),
 		state: newJobsState(),
+		room:  newJobRoom(cfg.MemoryBytes, cfg.Metrics),
 	}
 }
 
