core/raft: replace a voter whose log stands still

Change: a voter whose log stands still behind the commit index for four times ReplaceAfter (20 s on a site) is replaced like one that does not answer. Disks that are full or hang for a while recover before. With two disks full nothing commits, so no voter is behind and reads go on.

--- a/core/raft/open.go
+++ b/core/raft/open.go
@@ -48,12 +48,23 @@
 	return m, false
 }
 
-// shouldReplaceVoter reports whether a voter is retired or unresponsive.
+// stalledFactor is how many times ReplaceAfter the log of a voter that answers may stand
+// still before the voter is replaced. Disks that are full or hang mostly recover before.
+const stalledFactor = 4
+
+// shouldReplaceVoter reports whether a voter is retired, unresponsive or unable to write.
 func (r *Raft) shouldReplaceVoter(voter ReplicaID) bool {
 	if slices.Contains(r.retiredHosts, voter.ID) {
 		return true
 	}
-	return voter != r.id && r.isUnresponsive(voter)
+	return voter != r.id && (r.isUnresponsive(voter) || r.isStalled(voter))
+}
+
+// isStalled reports whether the log of a member has long stood still behind the commit
+// index, though the member may answer: its disk refuses writes.
+func (r *Raft) isStalled(id ReplicaID) bool {
+	p := r.progress[id]
+	return p != nil && !p.keptUpAt.IsZero() && r.now.Sub(p.keptUpAt) >= stalledFactor*r.cfg.ReplaceAfter
 }
 
 // isUnresponsive reports whether a member has not answered for ReplaceAfter.
--- a/core/raft/progress.go
+++ b/core/raft/progress.go
@@ -25,6 +25,16 @@
 	lastResponse      time.Time
 	trackedSince      time.Time // when this leader started to replicate to the member
 	lastProgress      time.Time // last time that match grew or sending was restarted
+	keptUpAt          time.Time // last time that match grew or was not behind the commit index
+	keptUpMatch       uint64    // match then
+}
+
+// noteKeptUp notes whether the member's log grows while there are committed entries that it
+// lacks.
+func (p *progress) noteKeptUp(committed uint64, now time.Time) {
+	if p.match >= committed || p.match > p.keptUpMatch || p.keptUpAt.IsZero() {
+		p.keptUpAt, p.keptUpMatch = now, p.match
+	}
 }
 
 // probeFrom switches to stateProbe: one append at a time, starting at next.
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -39,6 +39,7 @@
 		if id == r.id {
 			continue
 		}
+		p.noteKeptUp(r.log.committed, r.now)
 		retryAfter := 2 * r.cfg.HeartbeatInterval
 		if p.state == stateSnapshot {
 			retryAfter = 2 * r.cfg.ElectionTimeout
