infra/wal: do not rely on a frame after a failed sync on opening

Cause: a process that opens the log syncs what it has read. If that failed, it ended, and the next one's sync of the same file was taken for proof, though the operating system may have dropped the pages.

Change: a failed sync on opening leaves a mark, and with a mark the last segment is replaced by a synced copy. The mark need not outlive a loss of power: the segment then holds what is on disk.

Ruled out: a copy at each start (16 MB on the slowest disks). Left: services/control/payload opens its last segment the same way; if the mark cannot be written either, the fault remains.

--- a/infra/wal/tail.go
+++ b/infra/wal/tail.go
@@ -1,6 +1,17 @@
 package wal
 
-import "github.com/cockroachdb/errors"
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"banyanwalk/infra/durable"
+)
+
+// unsyncedMark is the name of a file that marks a last segment whose sync failed when the log was opened. It need not
+// outlive a loss of power, after which the segment holds what is on disk.
+const unsyncedMark = "tail-unsynced"
 
 // tailState tells how the next frame is written.
 type tailState int
@@ -48,3 +59,43 @@
 func (l *Log) cutTail() error {
 	return errors.Wrap(l.tailFile.Truncate(int64(l.tailSize)), "cut unsynced frame")
 }
+
+// syncOpenedTail syncs the last segment of a log that is being opened. If an earlier
+// process failed to, the operating system may report the sync of the same file as
+// successful though it has dropped pages, so a copy replaces it.
+func (l *Log) syncOpenedTail(last segment) error {
+	mark := filepath.Join(l.dir, unsyncedMark)
+	if _, err := os.Stat(mark); err == nil {
+		if err := l.copyTail(last); err != nil {
+			return err
+		}
+		return errors.Wrap(l.options.FS.Remove(mark), "remove mark of unsynced segment")
+	}
+	err := l.tailFile.Sync()
+	if err == nil {
+		return nil
+	}
+	marked, markErr := l.options.FS.OpenFile(mark, os.O_CREATE|os.O_WRONLY, fileMode)
+	if markErr == nil {
+		markErr = marked.Close()
+	}
+	return errors.CombineErrors(errors.Wrap(err, "sync last segment"), errors.Wrap(markErr, "mark unsynced segment"))
+}
+
+// copyTail replaces the last segment by a synced copy of its frames.
+func (l *Log) copyTail(last segment) error {
+	frames, err := os.ReadFile(last.path)
+	if err != nil {
+		return errors.Wrap(err, "read last segment")
+	}
+	if err := durable.WriteFile(l.options.FS, last.path, frames[:l.tailSize]); err != nil {
+		return errors.Wrap(err, "copy last segment")
+	}
+	copied, err := l.options.FS.OpenFile(last.path, os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return errors.Wrap(err, "open copy of last segment")
+	}
+	former := l.tailFile
+	l.tailFile = copied
+	return errors.Wrap(former.Close(), "close former last segment")
+}
--- a/infra/wal/wal.go
+++ b/infra/wal/wal.go
@@ -209,8 +209,8 @@
 			return err
 		}
 	}
-	if err := tail.Sync(); err != nil {
-		return errors.Wrap(err, "sync last segment")
+	if err := l.syncOpenedTail(last); err != nil {
+		return err
 	}
 	return l.options.FS.SyncDir(l.dir)
 }
