infra/wire: reads of a stream end when its session does

Cause: read in yamux, and shown: between the shutdown of a session and the return of its last read, Read of each of its streams goes back to its start without waiting. Nothing ended the handlers' reads meanwhile.

--- a/infra/wire/server.go
+++ b/infra/wire/server.go
@@ -120,7 +120,7 @@
 	}
 }
 
-func (s *Server) serveStream(ctx context.Context, session *yamux.Session, raw *yamux.Stream) {
+func (s *Server) serveStream(connCtx context.Context, session *yamux.Session, raw *yamux.Stream) {
 	defer abort(raw)
 	header, err := readOpenHeader(raw)
 	if err != nil {
@@ -130,8 +130,10 @@
 		}
 		return
 	}
-	ctx, cancel := streamContext(ctx, header)
+	ctx, cancel := streamContext(connCtx, header)
 	defer cancel()
+	// While a session ends, reads of its streams spin until the last frame has been read.
+	defer context.AfterFunc(connCtx, func() { abort(raw) })()
 	stream := &Stream{conn: raw, cancel: cancel, startGoroutine: s.wg.Go}
 	handler, ok := s.handlers[header.Method]
 	if !ok {
