--- a/cmd/banyan-gateway/main.go
+++ b/cmd/banyan-gateway/main.go
@@ -9,6 +9,8 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
+
 	"banyanwalk/cmd/internal/member"
 	"banyanwalk/infra/settings"
 	"banyanwalk/infra/tlsconf"
@@ -44,6 +46,12 @@
 	set.DurationVar(&o.cfg.DrainDelay, "drain-delay", gateway.DefaultDrainDelay, "time from the first failing /readyz to the closing of the listener at shutdown")
 	set.DurationVar(&o.cfg.DrainTimeout, "drain-timeout", gateway.DefaultDrainTimeout, "time for requests in flight to finish at shutdown")
 	set.Int64Var(&o.cfg.MemoryBytes, "memory-bytes", 0, "memory that this process may use, in bytes; bounds what requests and connections may hold together; 0: unknown, requests then hold 64 MiB at most")
+	set.AddCheck(func() error {
+		if o.cfg.MemoryBytes < 0 {
+			return errors.Newf("-memory-bytes: %d is negative", o.cfg.MemoryBytes)
+		}
+		return nil
+	})
 	o.httpTLS = tlsconf.AddListenerFlags(set)
 	set.RequireAddress("listen", &o.listen)
 }
--- a/infra/httplimits/conns.go
+++ b/infra/httplimits/conns.go
@@ -20,7 +20,7 @@
 
 	mu      sync.Mutex
 	open    map[net.Conn]*conn
-	idle    *list.List // of net.Conn, the one that has been idle for longest first
+	oldest  *list.List // of idle net.Conns, the one that has been idle for longest first
 	evicted func()     // is told of each connection that is closed
 }
 
@@ -31,7 +31,7 @@
 }
 
 func newConns(most int, evicted func()) *conns {
-	return &conns{most: most, open: make(map[net.Conn]*conn), idle: list.New(), evicted: evicted}
+	return &conns{most: most, open: make(map[net.Conn]*conn), oldest: list.New(), evicted: evicted}
 }
 
 // note is called at each change of a connection.
@@ -41,7 +41,7 @@
 	known := c.open[raw]
 	switch state {
 	case fasthttp.StateNew:
-		c.open[raw] = &conn{idle: c.idle.PushBack(raw)}
+		c.open[raw] = &conn{idle: c.oldest.PushBack(raw)}
 		c.evict()
 	case fasthttp.StateActive:
 		if known != nil {
@@ -50,7 +50,7 @@
 		}
 	case fasthttp.StateIdle:
 		if known != nil && known.idle == nil {
-			known.idle = c.idle.PushBack(raw)
+			known.idle = c.oldest.PushBack(raw)
 		}
 	case fasthttp.StateClosed, fasthttp.StateHijacked:
 		if known != nil {
@@ -63,7 +63,7 @@
 // setBusy removes a connection from the idle ones. The caller holds the lock.
 func (c *conns) setBusy(known *conn) {
 	if known.idle != nil {
-		c.idle.Remove(known.idle)
+		c.oldest.Remove(known.idle)
 		known.idle = nil
 	}
 }
@@ -71,11 +71,11 @@
 // evict closes the connection that has been idle for longest while there are too many. The
 // caller holds the lock.
 func (c *conns) evict() {
-	for c.most > 0 && len(c.open) > c.most && c.idle.Len() > 0 {
-		oldest := c.idle.Front().Value.(net.Conn) //nolint:errcheck // the list holds nothing else
-		c.setBusy(c.open[oldest])
-		delete(c.open, oldest)
-		_ = oldest.Close() // it is of no use any more, whatever the result
+	for c.most > 0 && len(c.open) > c.most && c.oldest.Len() > 0 {
+		raw := c.oldest.Front().Value.(net.Conn) //nolint:errcheck // the list holds nothing else
+		c.setBusy(c.open[raw])
+		delete(c.open, raw)
+		_ = raw.Close() // it is of no use any more, whatever the result
 		c.evicted()
 	}
 }
--- a/infra/httplimits/httplimits.go
+++ b/infra/httplimits/httplimits.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -250,6 +251,6 @@
 	ctx.SetConnectionClose()
 	ctx.Error(failure.Error()+"\n", failure.Code.HTTPStatus())
 	if failure.RetryAfter > 0 {
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 2, 64))
 	}
 }
--- a/services/entry/broker_link_test.go
+++ b/services/entry/broker_link_test.go
@@ -87,7 +87,7 @@
 	return s
 }
 
-// ask acquires a slot as a request does, and reports whether the broker granted it.
+// askForTest asks the broker for a slot as a request does, and returns nil if it granted none.
 func (s *slots) askForTest(t *testing.T) *slot {
 	granted, failure := s.askBroker(t.Context(), &rpc.SlotRequest{RemainingMS: 5000}, placement.Query{Service: "llm", Exclude: map[string]bool{}})
 	require.Nil(t, failure)
--- a/tests/site/crowd_test.go
+++ b/tests/site/crowd_test.go
@@ -89,7 +89,7 @@
 	return conn
 }
 
-// meet sends a crowd to an address and returns its open connections.
+// meet sends a crowd to an address. Its connections stay open until the end of the test.
 func (c *crowd) meet(t *testing.T, addr, head string) {
 	conns := make([]net.Conn, c.size)
 	var callers conc.WaitGroup
