targetcall, platform: no request in a value of another one

Cause: path and headers of an item were checked, its id was not, and the encoder wrote what it was given.

Looked at: values of targets on their way back are parsed by net/http, which refuses such lines; log lines quote their values. Not looked at: the job store.

--- a/services/entry/forward.go
+++ b/services/entry/forward.go
@@ -86,7 +86,10 @@
 	f.cancel = func(cause error) { cancel(cause); cancelDeadline() }
 	f.caller = netpeek.RawConn(ctx.Conn())
 	f.stopWatching = netpeek.WatchClosed(ctx.Conn(), callerCheckInterval, func() { f.cancel(errCallerGone) })
-	failure := f.prepare()
+	failure := f.validate()
+	if failure == nil {
+		failure = f.prepare()
+	}
 	if failure == nil {
 		failure = f.run(ctx)
 	}
@@ -99,6 +102,14 @@
 	}
 }
 
+// validate refuses a request that no target may get: a value in it could end its line.
+func (f *forwarding) validate() *outcome.Error {
+	if err := f.request.Validate(); err != nil {
+		return outcome.New(outcome.BadRequest, outcome.NotRun, "the request cannot be passed on: %v", err)
+	}
+	return nil
+}
+
 // prepare finds out where a stream began that the caller takes up again.
 func (f *forwarding) prepare() *outcome.Error {
 	if f.stream == streams.NoKey || f.request.LastEventID == 0 {
--- a/services/targetcall/caller.go
+++ b/services/targetcall/caller.go
@@ -142,6 +142,11 @@
 // Do sends a request and returns the response once its header has arrived. The
 // connection is closed when ctx ends. Errors are of type *Failure.
 func (c *Client) Do(ctx context.Context, target *roster.Record, r *Request) (*Response, error) {
+	encoded, err := r.encode(&c.headers, time.Now(), target.ID)
+	if err != nil {
+		// The status keeps the target from being avoided for it.
+		return nil, &Failure{Outcome: outcome.NotRun, Status: http.StatusBadRequest, Reason: "cannot be encoded: " + err.Error()}
+	}
 	pool := c.pool(target)
 	conn, err := pool.GetFor(ctx, r.ID)
 	if err != nil {
@@ -156,7 +161,7 @@
 		resp.Close()
 		return nil, &Failure{Outcome: outcome.NotRun, Reason: "cancelled before it was sent"}
 	}
-	if err := c.roundTrip(resp, r, r.encode(&c.headers, time.Now(), target.ID)); err != nil {
+	if err := c.roundTrip(resp, r, encoded); err != nil {
 		resp.Close()
 		return nil, err
 	}
--- a/services/targetcall/request.go
+++ b/services/targetcall/request.go
@@ -8,6 +8,9 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // HeaderNames configures the headers that targets read and write. An
@@ -41,8 +44,12 @@
 }
 
 // encode returns the HTTP/1.1 encoding of the request to the target whose id is
-// expect.
-func (r *Request) encode(names *HeaderNames, now time.Time, expect string) []byte {
+// expect. It fails if a value could end its line: the target would read a second request
+// in it, with headers that only this system may set.
+func (r *Request) encode(names *HeaderNames, now time.Time, expect string) ([]byte, error) {
+	if err := r.Validate(); err != nil {
+		return nil, err
+	}
 	var out bytes.Buffer
 	out.Grow(len(r.Body) + 1024)
 	out.WriteString(r.Method)
@@ -70,7 +77,32 @@
 	}
 	out.WriteString("\r\n")
 	out.Write(r.Body)
-	return out.Bytes()
+	return out.Bytes(), nil
+}
+
+// Validate returns an error that names the first field that cannot stand in a request.
+func (r *Request) Validate() error {
+	for _, field := range []struct{ name, value string }{{"method", r.Method}, {"URI", r.URI}} {
+		if field.value == "" || strings.ContainsAny(field.value, " \r\n\x00") {
+			return errors.Newf("%s %q", field.name, field.value)
+		}
+	}
+	for _, field := range []struct{ name, value string }{{"host", r.Host}, {"id", r.ID}, {"workspace", r.Workspace}} {
+		if !httpguts.ValidHeaderFieldValue(field.value) {
+			return errors.Newf("%s %q", field.name, field.value)
+		}
+	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Newf("header name %q", name)
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return errors.Newf("header %s %q", name, value)
+			}
+		}
+	}
+	return nil
 }
 
 func writeHeader(out *bytes.Buffer, name, value string) {
