jobhost: abandon expired items also while all slots are taken

Since passes end where no lane has room, an item whose maximum wait is over was looked at only once a slot was free, and behind all items that were not late.

Change: making a plan, which looks at all items, abandons them.

--- a/services/jobhost/schedule.go
+++ b/services/jobhost/schedule.go
@@ -33,10 +33,19 @@
 	partial   jobs.Partial // progress that the replicated log holds
 }
 
-// makePlan orders the items that may run now.
+// makePlan orders the items that may run now, and abandons those whose maximum wait is
+// over.
 func (r *runner) makePlan(now time.Time) *jobs.Plan {
+	entries, expired := r.planEntries(now)
+	for _, ref := range expired {
+		r.abandon(ref, "its maximum wait is over")
+	}
+	return jobs.NewPlan(now, entries)
+}
+
+// planEntries returns the items that may run now, and those whose maximum wait is over.
+func (r *runner) planEntries(now time.Time) (entries []jobs.Entry, expired []jobs.ItemRef) {
 	table := r.follower.Table()
-	var entries []jobs.Entry
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.server.state.read(func(m *jobs.Machine, firstSeen map[string]time.Time) {
@@ -50,6 +59,10 @@
 				if !r.mayRun(job, ref) {
 					continue
 				}
+				if job.MaxWaitMS > 0 && now.After(runDeadline(job, firstSeen[job.ID])) {
+					expired = append(expired, ref)
+					continue
+				}
 				origin, begun, runTime := job.Partial[i].Origin, job.Partial[i].Last > 0, time.Duration(0)
 				if p := r.paused[ref]; p != nil {
 					if now.Before(p.notBefore) {
@@ -67,7 +80,12 @@
 			}
 		}
 	})
-	return jobs.NewPlan(now, entries)
+	return entries, expired
+}
+
+// runDeadline returns when the maximum wait of a job's items is over.
+func runDeadline(job *jobs.Job, firstSeen time.Time) time.Time {
+	return firstSeen.Add(time.Duration(job.MaxWaitMS)*time.Millisecond + maxWaitGrace)
 }
 
 // mayRun reports whether an item is open, does not run and has no result to be committed.
@@ -109,7 +127,7 @@
 }
 
 // startItem starts an item at a target with a spare slot, if there is one. It
-// abandons an item whose maximum wait is over or whose route no longer exists. Before
+// abandons an item whose route no longer exists. Before
 // this host has the document by which the job was accepted, it cannot tell a route that
 // no longer exists from a new one.
 func (r *runner) startItem(ctx context.Context, now time.Time, ref jobs.ItemRef, pass *schedulePass) jobs.Attempt {
@@ -119,11 +137,6 @@
 	}
 	job := item.job
 	spec := &item.item
-	deadline := item.firstSeen.Add(time.Duration(job.MaxWaitMS)*time.Millisecond + maxWaitGrace)
-	if job.MaxWaitMS > 0 && now.After(deadline) {
-		r.abandon(ref, "its maximum wait is over")
-		return jobs.Done
-	}
 	table := r.follower.Table()
 	if table == nil || table.Version() < job.Document {
 		r.waitForDocument(table, job)
@@ -157,7 +170,7 @@
 	delete(r.paused, ref)
 	runCtx, cancel := context.WithCancelCause(ctx)
 	started := &itemRun{runner: r, ref: ref, target: target, parts: parts, progress: itemProgress, startedAt: now, cancel: cancel,
-		request: r.targetRequest(job, spec, deadline), route: route.Name, tokens: spec.Tokens, held: query.HeldTokens(),
+		request: r.targetRequest(job, spec, runDeadline(job, item.firstSeen)), route: route.Name, tokens: spec.Tokens, held: query.HeldTokens(),
 		fill: r.follower.Targets.TotalLoad(target.ID), maxAttempts: job.MaxAttempts, loggedFailures: item.failures,
 		firstSeen: item.firstSeen, due: item.firstSeen.Add(time.Duration(job.CompletionMS) * time.Millisecond)}
 	r.running[ref] = started
