--- a/services/jobhost/plan_test.go
+++ b/services/jobhost/plan_test.go
@@ -19,8 +19,9 @@
 	"banyanwalk/services/standin"
 )
 
-// fullHost returns a leader with waiting items, all of whose slots online requests have.
-// tokens is called for each item that it looks at.
+// fullHost returns a leader, all of whose slots online requests have, with two jobs of
+// waiting items: "patient" without a maximum wait, and "job", which is due later. tokens is
+// called for each item that it looks at.
 func fullHost(t *testing.T, now time.Time, waiting int, maxWait time.Duration, tokens func([]jobs.Header) int64) *Server {
 	target, err := standin.NewTarget("t0", headerNames, standin.Behaviour{})
 	require.NoError(t, err)
@@ -33,12 +34,14 @@
 	s.load = newLoadLog(s)
 	s.runner = newRunner(s, nil)
 	s.broker = newBroker(s, s.runner)
-	spec := &jobs.Spec{ID: "job", Workspace: "w", Route: "lots", Host: "h", CompletionMS: 60_000, MaxWaitMS: maxWait.Milliseconds(), Document: 1}
-	for i := range waiting {
-		spec.Items = append(spec.Items, jobs.Item{ID: fmt.Sprint(i), Path: "/lots/1", Tokens: 100})
+	for id, wait := range map[string]time.Duration{"patient": 0, "job": maxWait} {
+		spec := &jobs.Spec{ID: id, Workspace: "w", Route: "lots", Host: "h", CompletionMS: 60_000 + wait.Milliseconds(), MaxWaitMS: wait.Milliseconds(), Document: 1}
+		for i := range waiting {
+			spec.Items = append(spec.Items, jobs.Item{ID: fmt.Sprint(id, i), Path: "/lots/1", Tokens: 100})
+		}
+		require.Nil(t, s.state.machine.Apply(jobs.Command{Submit: spec}).Error)
+		s.state.firstSeen[id] = now
 	}
-	require.Nil(t, s.state.machine.Apply(jobs.Command{Submit: spec}).Error)
-	s.state.firstSeen["job"] = now
 	for range targetSlots {
 		busy, _ := f.Targets.Acquire(now, placement.Query{Service: "llm", MaxQueue: placement.NoQueue})
 		require.NotNil(t, busy)
@@ -58,7 +61,7 @@
 		for range passes {
 			s.runner.schedule(t.Context(), now)
 		}
-		assert.LessOrEqual(t, looked, 2*waiting+passes, "%d items wait", waiting)
+		assert.LessOrEqual(t, looked, 2*2*waiting+passes, "%d items wait", 2*waiting)
 	}
 }
 
