--- a/infra/wal/tail.go
+++ b/infra/wal/tail.go
@@ -9,8 +9,9 @@
 	"banyanwalk/infra/durable"
 )
 
-// unsyncedMark is the name of a file that marks a last segment whose sync failed when the log was opened. It need not
-// outlive a loss of power, after which the segment holds what is on disk.
+// unsyncedMark is the name of a file that marks a last segment whose sync failed when the
+// log was opened. It need not outlive a loss of power, after which the segment holds what
+// is on disk.
 const unsyncedMark = "tail-unsynced"
 
 // tailState tells how the next frame is written.
