--- a/review/kit-2/case_crowd.go
+++ b/review/kit-2/case_crowd.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -15,7 +16,7 @@
 
 // crowdAtEach is the number of clients that do not behave at each gateway: well below the
 // descriptors of its machine (4,100).
-const crowdAtEach = 1500
+const crowdAtEach = 1200
 
 // slowBodies: a crowd of clients that do not behave sends the bodies of its requests a byte
 // at a time. Ordinary callers must still get answers.
@@ -35,10 +36,11 @@
 	time.Sleep(3 * time.Second)
 	c := newClients(s)
 	begin := time.Now()
-	end := begin.Add(35 * time.Second)
+	end := begin.Add(45 * time.Second)
 	var mu sync.Mutex
 	asked, answered := map[bool]int{}, map[bool]int{} // by whether the crowd was there
 	c.every(100*time.Millisecond, end, func(n int) {
+		time.Sleep(time.Duration(rand.Int64N(int64(100 * time.Millisecond))))
 		at := time.Now()
 		deadline := at.Add(1500 * time.Millisecond)
 		got := false
@@ -46,7 +48,7 @@
 			r := c.send(gateways[(n+try)%len(gateways)], "POST", "/ping/a", "key-of-tenant-0", time.Until(deadline), nil, []byte("ping"))
 			got = r.err == nil && r.status != 0
 		}
-		crowded := at.Sub(begin) > 12*time.Second
+		crowded := at.Sub(begin) > 20*time.Second
 		if !crowded && at.Sub(begin) > 5*time.Second {
 			return // while the crowd comes
 		}
@@ -65,13 +67,17 @@
 		crowd.Add(1)
 		go func() {
 			defer crowd.Done()
-			time.Sleep(time.Duration(n) * 500 * time.Microsecond)
+			time.Sleep(time.Duration(n) * 2500 * time.Microsecond)
 			for {
-				pause := 200 * time.Millisecond
-				if !s.trouble {
-					pause = 15 * time.Second // a request each, as slow as those of the crowd
-				}
+				began := time.Now()
 				misbehave(s, gateways[n%len(gateways)], stop, &open, &refused, &closed)
+				pause := 100 * time.Millisecond
+				switch {
+				case !s.trouble:
+					pause = 15 * time.Second // a request each, as often as those of the crowd
+				case time.Since(began) < 2*time.Second:
+					pause = 700 * time.Millisecond // it was not let in
+				}
 				select {
 				case <-stop:
 					return
@@ -80,7 +86,7 @@
 			}
 		}()
 	}
-	time.Sleep(time.Until(begin.Add(20 * time.Second)))
+	time.Sleep(time.Until(begin.Add(30 * time.Second)))
 	s.note("the crowd has %d connections open, of %d clients", open.Load(), crowdAtEach*len(gateways))
 	for _, m := range gateways {
 		s.note("the platform asks %s whether it is ready: %t", m.name, s.ready(m))
--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -56,11 +56,13 @@
 	go func() {
 		<-signals
 		s.close()
+		_ = os.RemoveAll(dir)
 		os.Exit(cannotRun)
 	}()
 	time.AfterFunc(110*time.Second, func() {
 		s.note("the case takes too long")
 		s.close()
+		_ = os.RemoveAll(dir)
 		os.Exit(cannotRun)
 	})
 	defer func() {
