--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# Plays case 9 on real processes: a part of prompts that crashes engines comes from several tenants.
+# Plays case 9 on real processes: an engine's deregistration is acknowledged by a control host that then loses power.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 for program in gateway control store; do
   [ -x target/banyan-site-$program ] || { echo "build the deploy file first"; exit 2; }
 done
 [ -x target/review-kit-2 ] || { echo "run review/build-2.sh first"; exit 2; }
-exec target/review-kit-2 bad-part review/9
+exec target/review-kit-2 leave-ack review/9
--- a/review/kit-2/client.go
+++ b/review/kit-2/client.go
@@ -58,6 +58,7 @@
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
+	r.id = request.Header.Get("X-Banyanwalk-Request-Id")
 	response, err := c.http.Do(request)
 	if err == nil {
 		var read []byte
