--- a/review/kit-3/channels.go
+++ b/review/kit-3/channels.go
@@ -131,6 +131,6 @@
 	f.rec.line("1200 clients have asked for results with a wait of %d ms at %s, and have left", wait, g.name)
 	time.Sleep(15 * time.Second)
 	answered := ordinary(f, g, 60, 100*time.Millisecond)
-	f.rec.line("after: %d of 60 ordinary requests at %s answered", answered, g.name)
+	f.rec.line("after: %d of 60 ordinary requests at %s answered; it counts as ready: %v", answered, g.name, f.isReady(g))
 	return answered < 30, nil
 }
