--- a/review/kit-3/fleet.go
+++ b/review/kit-3/fleet.go
@@ -98,7 +98,7 @@
 	rec       *record
 	dir       string // temporary
 	root      string // of the repository
-	net       int    // second last number of all addresses: 127.0.net.x
+	net       string // beginning of all addresses
 	processes []*process
 	engines   []*engine
 	client    *http.Client
@@ -118,16 +118,16 @@
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	for range 50 {
-		f.net = 20 + rand.N(200)
+		f.net = fmt.Sprintf("127.%d.%d", 60+rand.N(150), 1+rand.N(250))
 		// The listener keeps other runs from taking the same addresses.
-		if f.reserved, err = net.Listen("tcp", fmt.Sprintf("127.0.%d.250:%d", f.net, frontendPort)); err == nil {
+		if f.reserved, err = net.Listen("tcp", fmt.Sprintf("%s.250:%d", f.net, frontendPort)); err == nil {
 			return f, nil
 		}
 	}
 	return nil, errors.New("no free addresses")
 }
 
-func (f *fleet) ip(number int) string { return fmt.Sprintf("127.0.%d.%d", f.net, number) }
+func (f *fleet) ip(number int) string { return fmt.Sprintf("%s.%d", f.net, number) }
 
 // addEdge adds a machine that runs a gateway and a control process.
 func (f *fleet) addEdge(number int, zone string) {
