--- a/review/kit-3/memory.go
+++ b/review/kit-3/memory.go
@@ -86,7 +86,7 @@
 	if !f.awaitDone(0, "ordinary", 20*time.Second) {
 		return false, fmt.Errorf("the ordinary batch was not done")
 	}
-	const perTenant = 3
+	const perTenant = 6
 	parts := 740 // 13 KB of headers an item
 	if !trouble {
 		parts = 5
@@ -94,13 +94,17 @@
 	accepted := 0
 	var mu sync.Mutex
 	var submitting sync.WaitGroup
+	until := time.Now().Add(50 * time.Second)
 	for tenant := range 8 {
 		submitting.Add(1)
 		go func() {
 			defer submitting.Done()
 			for n := range perTenant {
+				if time.Now().After(until) {
+					return
+				}
 				id := fmt.Sprintf("long-%d-%d", tenant, n)
-				if f.submit(tenant, 3, id, submission(id, 200, parts, 10)) {
+				if f.submit(tenant, 4, id, submission(id, 200, parts, 10)) {
 					mu.Lock()
 					accepted++
 					mu.Unlock()
@@ -111,7 +115,7 @@
 	submitting.Wait()
 	f.rec.line("%d batches were accepted, with %d parts in the prompt of each item", accepted, parts)
 	served, asked := 0, 0
-	for n := range 20 { // an ordinary client goes on reading its results
+	for n := range 12 { // an ordinary client goes on reading its results
 		g := f.role("gateway")[n%3]
 		page, a := f.read(g, 0, "ordinary", 0)
 		f.rec.line("client: tenant0 reads its ordinary batch at %s: status %d, %d results, error %v", g.name, a.status, len(page.Results), a.err)
